--- /dev/null
+++ b/daemons/basilmeshd.c
@@ -0,0 +1,392 @@
+/*
+ * basilmeshd: the process of basilfork beside each target on a platform that
+ * runs the store, one loop for all of it.  See basilmeshd(8).
+ */
+
+#include <argp.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/signalfd.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <apr_general.h>
+#include <jansson.h>
+#include <sodium.h>
+
+#include "base/address.h"
+#include "mesh/mesh.h"
+#include "platform/platform.h"
+#include "settings/meshd.h"
+
+/* The event log is written this often. */
+#define LOG_US (100 * BF_US_PER_MS)
+/* A settings file that changes without a signal is noticed within this. */
+#define SETTINGS_US (2 * BF_US_PER_S)
+#define METRICS_HEAD_BYTES 8192
+#define METRICS_IDLE_US (60 * BF_US_PER_S)
+
+/* Exit codes; see basilmeshd(8). */
+#define EXIT_SETTINGS 2
+#define EXIT_START 3
+
+const char *argp_program_version = "basilmeshd " BF_VERSION;
+
+typedef struct arguments {
+	const char *settings_path;
+	bool check;
+} arguments_t;
+
+/* The whole process. */
+typedef struct meshd {
+	bf_loop_t *loop;
+	bf_kv_t *kv;
+	bf_events_t *events;
+	bf_metrics_set_t *metrics;
+	bf_mesh_t *mesh;
+	bf_platform_port_t *port;
+	bf_http_server_t metrics_server;
+	bf_source_t signals;
+	bf_timer_t log_timer;
+	bf_timer_t settings_timer;
+	const char *settings_path;
+	struct timespec settings_time;
+	off_t settings_bytes;
+} meshd_t;
+
+static const struct argp_option options[] = {
+	{
+	    .name = "check",
+	    .key = 'c',
+	    .doc = "Check the settings and exit",
+	},
+	{ 0 },
+};
+
+static error_t
+parse_option(int key, char *value, struct argp_state *state)
+{
+	arguments_t *arguments = state->input;
+
+	switch (key) {
+	case 'c':
+		arguments->check = true;
+		return 0;
+	case ARGP_KEY_ARG:
+		if (arguments->settings_path != NULL)
+			argp_usage(state);
+		arguments->settings_path = value;
+		return 0;
+	case ARGP_KEY_END:
+		if (arguments->settings_path == NULL)
+			argp_usage(state);
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = {
+	.options = options,
+	.parser = parse_option,
+	.args_doc = "SETTINGS.toml",
+	.doc = "Runs one node of the mesh beside its target.",
+};
+
+static void
+print_problems(const bf_problems_t *problems, apr_pool_t *pool)
+{
+	size_t i;
+
+	for (i = 0; i < problems->count; i++)
+		fprintf(
+		    stderr, "%s\n", bf_problem_text(&problems->items[i], pool));
+}
+
+/* Addresses of settings were checked when they were read. */
+static struct sockaddr_in
+address_of(const char *text)
+{
+	struct sockaddr_in address;
+
+	(void)bf_address_parse(text, &address, NULL);
+	return address;
+}
+
+static void
+note_settings_file(meshd_t *meshd)
+{
+	struct stat status;
+
+	if (stat(meshd->settings_path, &status) != 0)
+		return;
+	meshd->settings_time = status.st_mtim;
+	meshd->settings_bytes = status.st_size;
+}
+
+/* What may change while the process runs is put in force. */
+static void
+reload(meshd_t *meshd, const char *why, bf_time_us_t now_us)
+{
+	bf_meshd_settings_t settings;
+	bf_problems_t *problems;
+	apr_pool_t *pool;
+
+	note_settings_file(meshd);
+	if (apr_pool_create(&pool, NULL) != APR_SUCCESS)
+		return;
+	problems = bf_problems_new(pool);
+	if (bf_meshd_settings_load(
+		meshd->settings_path, pool, &settings, problems) == BF_OK) {
+		bf_mesh_set_service(meshd->mesh, settings.node.service);
+		bf_event(meshd->events, BF_EVENT_SETTINGS, now_us, "s:s,s:s",
+		    "why", why, "service", settings.node.service);
+	} else {
+		bf_event(meshd->events, BF_EVENT_SETTINGS, now_us, "s:s,s:s",
+		    "why", why, "error",
+		    problems->count > 0
+			? bf_problem_text(&problems->items[0], pool)
+			: "unreadable");
+	}
+	apr_pool_destroy(pool);
+}
+
+static void
+on_settings_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	meshd_t *meshd = BF_CONTAINER(timer, meshd_t, settings_timer);
+	struct stat status;
+
+	if (stat(meshd->settings_path, &status) == 0 &&
+	    (status.st_mtim.tv_sec != meshd->settings_time.tv_sec ||
+		status.st_mtim.tv_nsec != meshd->settings_time.tv_nsec ||
+		status.st_size != meshd->settings_bytes))
+		reload(meshd, "the file has changed", now_us);
+	bf_loop_timer(meshd->loop, timer, now_us + SETTINGS_US);
+}
+
+static void
+on_log_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	meshd_t *meshd = BF_CONTAINER(timer, meshd_t, log_timer);
+
+	(void)bf_events_flush(meshd->events, now_us);
+	bf_loop_timer(meshd->loop, timer, now_us + LOG_US);
+}
+
+static void
+on_stopped(void *ctx)
+{
+	bf_loop_stop(((meshd_t *)ctx)->loop);
+}
+
+static void
+on_signal(bf_source_t *source, uint32_t events, bf_time_us_t now_us)
+{
+	meshd_t *meshd = BF_CONTAINER(source, meshd_t, signals);
+	struct signalfd_siginfo info;
+
+	(void)events;
+	while (read(source->fd, &info, sizeof(info)) == sizeof(info)) {
+		if (info.ssi_signo == SIGHUP)
+			reload(meshd, "SIGHUP", now_us);
+		else
+			bf_mesh_stop(meshd->mesh, on_stopped, meshd, now_us);
+	}
+}
+
+static bf_code_t
+take_signals(meshd_t *meshd, bf_error_t *err)
+{
+	sigset_t set;
+
+	signal(SIGPIPE, SIG_IGN);
+	sigemptyset(&set);
+	sigaddset(&set, SIGTERM);
+	sigaddset(&set, SIGINT);
+	sigaddset(&set, SIGHUP);
+	sigprocmask(SIG_BLOCK, &set, NULL);
+	meshd->signals.ready = on_signal;
+	meshd->signals.fd = signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
+	if (meshd->signals.fd < 0)
+		return bf_error_set(err, BF_ERR_IO, "signalfd failed");
+	return bf_loop_watch(meshd->loop, &meshd->signals, EPOLLIN, err);
+}
+
+static void
+answer_metrics(
+    bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
+{
+	meshd_t *meshd = BF_CONTAINER(server, meshd_t, metrics_server);
+	bf_bytes_t text = { 0 };
+
+	if (strcmp(bf_http_target(request->message), "/metrics") != 0) {
+		bf_http_answer(request, 404, "", "", 0);
+		return;
+	}
+	bf_mesh_gauges(meshd->mesh, now_us);
+	bf_metrics_print(meshd->metrics, &text);
+	bf_http_answer(request, 200,
+	    "Content-Type: text/plain; version=0.0.4\r\n", bf_bytes_at(&text),
+	    bf_bytes_count(&text));
+	bf_bytes_free(&text);
+}
+
+static const bf_http_server_vtable_t metrics_vtable = {
+	.request = answer_metrics,
+};
+
+static bf_code_t
+serve_metrics(meshd_t *meshd, const bf_meshd_settings_t *settings,
+    bf_time_us_t now_us, bf_error_t *err)
+{
+	struct sockaddr_in address;
+
+	if (settings->metrics.listen == NULL)
+		return BF_OK;
+	address = address_of(settings->metrics.listen);
+	meshd->metrics_server.vtable = &metrics_vtable;
+	meshd->metrics_server.limits = (bf_http_limits_t){
+		.head_bytes = METRICS_HEAD_BYTES,
+		.head_us = METRICS_IDLE_US,
+		.idle_us = METRICS_IDLE_US,
+	};
+	return bf_http_server_open(
+	    &meshd->metrics_server, meshd->loop, &address, now_us, err);
+}
+
+static bf_code_t
+make(meshd_t *meshd, const bf_meshd_settings_t *s, bf_error_t *err)
+{
+	struct sockaddr_in store = address_of(s->platform.store);
+	bf_mesh_options_t mesh_options = {
+		.instance = s->node.instance,
+		.zone = s->node.availability_zone,
+		.service = s->node.service,
+		.callers = address_of(s->callers.listen),
+		.peers = address_of(s->peers.listen),
+		.target = address_of(s->target.address),
+		.heartbeat_ms = s->target.heartbeat_ms,
+		.stop_ms = s->stop.grace_ms,
+		.retry_share_ppm = s->repeats.share_ppm,
+		.retry_burst = s->repeats.burst,
+		.connections_max = s->callers.connections_max,
+	};
+
+	meshd->loop = bf_loop_new(err);
+	if (meshd->loop == NULL)
+		return BF_ERR_IO;
+	meshd->events = bf_events_new(
+	    STDOUT_FILENO, s->node.instance, s->log.sample_one_in);
+	meshd->metrics = bf_metrics_set_new();
+	if (meshd->events == NULL || meshd->metrics == NULL)
+		return bf_error_set(err, BF_ERR_MEMORY, "no memory");
+	meshd->kv = bf_platform_store_new(meshd->loop, &store, err);
+	if (meshd->kv == NULL)
+		return BF_ERR_MEMORY;
+	meshd->mesh = bf_mesh_new(&mesh_options, &bf_platform_dialect,
+	    meshd->loop, meshd->kv, meshd->events, meshd->metrics, err);
+	return meshd->mesh != NULL ? BF_OK : BF_ERR_MEMORY;
+}
+
+static bf_code_t
+start(meshd_t *meshd, const bf_meshd_settings_t *s, bf_time_us_t now_us,
+    bf_error_t *err)
+{
+	struct sockaddr_in ready = address_of(s->platform.ready_listen);
+	struct sockaddr_in heartbeats = address_of(s->target.listen);
+	bf_code_t code;
+
+	code = take_signals(meshd, err);
+	if (code == BF_OK)
+		code = bf_mesh_start(meshd->mesh, now_us, err);
+	if (code == BF_OK)
+		code = serve_metrics(meshd, s, now_us, err);
+	if (code != BF_OK)
+		return code;
+	meshd->port = bf_platform_port_open(meshd->mesh, meshd->loop,
+	    meshd->events, &ready, &heartbeats, now_us, err);
+	if (meshd->port == NULL)
+		return err->code;
+	note_settings_file(meshd);
+	meshd->log_timer.fire = on_log_timer;
+	bf_loop_timer(meshd->loop, &meshd->log_timer, now_us + LOG_US);
+	meshd->settings_timer.fire = on_settings_timer;
+	bf_loop_timer(
+	    meshd->loop, &meshd->settings_timer, now_us + SETTINGS_US);
+	return BF_OK;
+}
+
+static void
+unmake(meshd_t *meshd)
+{
+	if (meshd->metrics_server.loop != NULL)
+		bf_http_server_close(&meshd->metrics_server);
+	bf_platform_port_free(meshd->port);
+	bf_mesh_free(meshd->mesh);
+	if (meshd->kv != NULL)
+		meshd->kv->vtable->free(meshd->kv);
+	if (meshd->events != NULL)
+		(void)bf_events_flush(
+		    meshd->events, bf_clock_monotonic_us());
+	bf_events_free(meshd->events);
+	bf_metrics_set_free(meshd->metrics);
+	bf_loop_free(meshd->loop);
+}
+
+static int
+run(const bf_meshd_settings_t *settings, const char *settings_path)
+{
+	meshd_t meshd = { .settings_path = settings_path };
+	bf_time_us_t now_us = bf_clock_monotonic_us();
+	bf_error_t err = { 0 };
+	bf_code_t code;
+
+	code = make(&meshd, settings, &err);
+	if (code == BF_OK)
+		code = start(&meshd, settings, now_us, &err);
+	if (code == BF_OK) {
+		bf_event(meshd.events, BF_EVENT_STARTED, now_us,
+		    "s:s,s:s,s:s,s:I", "version", BF_VERSION, "zone",
+		    settings->node.availability_zone, "service",
+		    settings->node.service, "pid", (json_int_t)getpid());
+		bf_loop_run(meshd.loop);
+	} else {
+		fprintf(stderr, "basilmeshd cannot start: %s: %s\n",
+		    bf_code_name(code), err.message);
+	}
+	unmake(&meshd);
+	return code == BF_OK ? EXIT_SUCCESS : EXIT_START;
+}
+
+int
+main(int argc, char **argv)
+{
+	arguments_t arguments = { 0 };
+	bf_meshd_settings_t settings;
+	bf_problems_t *problems;
+	apr_pool_t *pool;
+	int status;
+
+	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	apr_initialize();
+	if (sodium_init() < 0)
+		return EXIT_START;
+	apr_pool_create(&pool, NULL);
+	problems = bf_problems_new(pool);
+	if (bf_meshd_settings_load(
+		arguments.settings_path, pool, &settings, problems) != BF_OK) {
+		print_problems(problems, pool);
+		status = EXIT_SETTINGS;
+	} else if (arguments.check) {
+		status = EXIT_SUCCESS;
+	} else {
+		status = run(&settings, arguments.settings_path);
+	}
+	apr_pool_destroy(pool);
+	apr_terminate();
+	return status;
+}
--- /dev/null
+++ b/http/message.c
@@ -0,0 +1,312 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "http/message.h"
+
+#define HEAD_BYTES_DEFAULT 65536
+#define BODY_BYTES_DEFAULT (UINT64_C(64) << 20)
+
+bf_http_message_t *
+bf_http_message_new(void)
+{
+	return calloc(1, sizeof(bf_http_message_t));
+}
+
+void
+bf_http_message_free(bf_http_message_t *message)
+{
+	if (message == NULL)
+		return;
+	bf_bytes_free(&message->text);
+	bf_bytes_free(&message->body);
+	free(message);
+}
+
+static const char *
+text_at(const bf_http_message_t *message, uint32_t offset)
+{
+	if (offset >= bf_bytes_count(&message->text))
+		return "";
+	return (const char *)bf_bytes_at(&message->text) + offset;
+}
+
+const char *
+bf_http_target(const bf_http_message_t *message)
+{
+	return text_at(message, 0);
+}
+
+const char *
+bf_http_name(const bf_http_message_t *message, uint32_t field)
+{
+	return text_at(message, message->fields[field].name);
+}
+
+const char *
+bf_http_value(const bf_http_message_t *message, uint32_t field)
+{
+	return text_at(message, message->fields[field].value);
+}
+
+const char *
+bf_http_find(const bf_http_message_t *message, const char *name)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->field_count; i++) {
+		if (strcasecmp(bf_http_name(message, i), name) == 0)
+			return bf_http_value(message, i);
+	}
+	return NULL;
+}
+
+uint64_t
+bf_http_number(const char *text, uint64_t otherwise)
+{
+	unsigned long long value;
+	char *end;
+
+	if (text == NULL || text[0] < '0' || text[0] > '9')
+		return otherwise;
+	value = strtoull(text, &end, 10);
+	return *end == '\0' ? (uint64_t)value : otherwise;
+}
+
+/* Whether list, of texts with commas between, has the text. */
+static bool
+list_has(const char *list, const char *text)
+{
+	size_t bytes = strlen(text), skip;
+
+	while (*list != '\0') {
+		skip = strspn(list, " \t,");
+		list += skip;
+		if (strncasecmp(list, text, bytes) == 0 &&
+		    strchr(" \t,", list[bytes]) != NULL)
+			return true;
+		list += strcspn(list, ",");
+	}
+	return false;
+}
+
+bool
+bf_http_hop_by_hop(const bf_http_message_t *message, const char *name)
+{
+	static const char *const names[] = { "Connection", "Keep-Alive",
+		"Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"TE", "Trailer", "Transfer-Encoding", "Upgrade",
+		"Content-Length", "Expect" };
+	uint32_t i;
+
+	for (i = 0; i < sizeof(names) / sizeof(names[0]); i++) {
+		if (strcasecmp(name, names[i]) == 0)
+			return true;
+	}
+	for (i = 0; i < message->field_count; i++) {
+		if (strcasecmp(bf_http_name(message, i), "Connection") == 0 &&
+		    list_has(bf_http_value(message, i), name))
+			return true;
+	}
+	return false;
+}
+
+static bf_http_reader_t *
+reader_of(http_parser *parser)
+{
+	return parser->data;
+}
+
+static int
+fail(bf_http_reader_t *reader, bf_http_fault_t fault)
+{
+	reader->fault = fault;
+	return -1;
+}
+
+static int
+on_begin(http_parser *parser)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+
+	bf_http_message_free(reader->message);
+	reader->message = bf_http_message_new();
+	reader->head_bytes = 0;
+	reader->in_value = false;
+	if (reader->message == NULL)
+		return fail(reader, BF_HTTP_NO_MEMORY);
+	return 0;
+}
+
+static int
+add_text(bf_http_reader_t *reader, const char *at, size_t bytes)
+{
+	reader->head_bytes += bytes;
+	if (reader->head_bytes > reader->head_bytes_max)
+		return fail(reader, BF_HTTP_HEAD_TOO_LARGE);
+	bf_bytes_add(&reader->message->text, at, bytes);
+	return reader->message->text.failed ? fail(reader, BF_HTTP_NO_MEMORY)
+					    : 0;
+}
+
+static int
+end_text(bf_http_reader_t *reader)
+{
+	return add_text(reader, "", 1);
+}
+
+static int
+on_url(http_parser *parser, const char *at, size_t bytes)
+{
+	return add_text(reader_of(parser), at, bytes);
+}
+
+static int
+on_field(http_parser *parser, const char *at, size_t bytes)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+	bf_http_message_t *message = reader->message;
+
+	if (message->field_count == 0 || reader->in_value) {
+		if (message->field_count == BF_HTTP_FIELDS_MAX)
+			return fail(reader, BF_HTTP_HEAD_TOO_LARGE);
+		if (end_text(reader) != 0)
+			return -1;
+		message->fields[message->field_count++].name =
+		    (uint32_t)bf_bytes_count(&message->text);
+		reader->in_value = false;
+	}
+	return add_text(reader, at, bytes);
+}
+
+static int
+on_value(http_parser *parser, const char *at, size_t bytes)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+	bf_http_message_t *message = reader->message;
+
+	if (!reader->in_value) {
+		if (end_text(reader) != 0)
+			return -1;
+		message->fields[message->field_count - 1].value =
+		    (uint32_t)bf_bytes_count(&message->text);
+		reader->in_value = true;
+	}
+	return add_text(reader, at, bytes);
+}
+
+static int
+on_head(http_parser *parser)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+	bf_http_message_t *message = reader->message;
+
+	if (end_text(reader) != 0)
+		return -1;
+	message->method = parser->method;
+	message->status = parser->status_code;
+	message->keep_alive = http_should_keep_alive(parser) != 0;
+	message->until_close = parser->type == HTTP_RESPONSE &&
+	    (parser->flags & (F_CHUNKED | F_CONTENTLENGTH)) == 0;
+	if ((parser->flags & F_CONTENTLENGTH) != 0 &&
+	    parser->content_length > reader->body_bytes_max)
+		return fail(reader, BF_HTTP_BODY_TOO_LARGE);
+	if (reader->vtable->head != NULL)
+		reader->vtable->head(reader, message);
+	return reader->no_body ? 1 : 0;
+}
+
+static int
+on_body(http_parser *parser, const char *at, size_t bytes)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+	bf_bytes_t *body = &reader->message->body;
+
+	if (bf_bytes_count(body) + bytes > reader->body_bytes_max)
+		return fail(reader, BF_HTTP_BODY_TOO_LARGE);
+	bf_bytes_add(body, at, bytes);
+	return body->failed ? fail(reader, BF_HTTP_NO_MEMORY) : 0;
+}
+
+static int
+on_complete(http_parser *parser)
+{
+	bf_http_reader_t *reader = reader_of(parser);
+	bf_http_message_t *message = reader->message;
+
+	reader->message = NULL;
+	if (parser->type == HTTP_RESPONSE && message->status < 200) {
+		/* An interim response; the final one follows. */
+		bf_http_message_free(message);
+		return 0;
+	}
+	if (reader->one)
+		http_parser_pause(parser, 1);
+	reader->vtable->message(reader, message);
+	return 0;
+}
+
+static const http_parser_settings callbacks = {
+	.on_message_begin = on_begin,
+	.on_url = on_url,
+	.on_header_field = on_field,
+	.on_header_value = on_value,
+	.on_headers_complete = on_head,
+	.on_body = on_body,
+	.on_message_complete = on_complete,
+};
+
+void
+bf_http_reader_init(bf_http_reader_t *reader,
+    const bf_http_reader_vtable_t *vtable, bool requests)
+{
+	*reader = (bf_http_reader_t){
+		.vtable = vtable,
+		.head_bytes_max = HEAD_BYTES_DEFAULT,
+		.body_bytes_max = BODY_BYTES_DEFAULT,
+	};
+	http_parser_init(
+	    &reader->parser, requests ? HTTP_REQUEST : HTTP_RESPONSE);
+	reader->parser.data = reader;
+}
+
+void
+bf_http_reader_clear(bf_http_reader_t *reader)
+{
+	bf_http_message_free(reader->message);
+	reader->message = NULL;
+}
+
+bf_http_fault_t
+bf_http_reader_feed(
+    bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+{
+	enum http_errno code;
+	size_t used;
+
+	if (reader->fault != BF_HTTP_OK)
+		return reader->fault;
+	used = http_parser_execute(
+	    &reader->parser, &callbacks, (const char *)data, bytes);
+	code = HTTP_PARSER_ERRNO(&reader->parser);
+	if (code == HPE_PAUSED) {
+		reader->extra = used < bytes;
+		return BF_HTTP_OK;
+	}
+	if (reader->fault == BF_HTTP_OK && reader->parser.upgrade)
+		reader->fault = BF_HTTP_MALFORMED;
+	if (reader->fault == BF_HTTP_OK && code != HPE_OK)
+		reader->fault = code == HPE_HEADER_OVERFLOW
+		    ? BF_HTTP_HEAD_TOO_LARGE
+		    : BF_HTTP_MALFORMED;
+	return reader->fault;
+}
+
+void
+bf_http_reader_finish(bf_http_reader_t *reader)
+{
+	if (reader->fault == BF_HTTP_OK &&
+	    HTTP_PARSER_ERRNO(&reader->parser) == HPE_OK)
+		(void)http_parser_execute(
+		    &reader->parser, &callbacks, NULL, 0);
+}
--- /dev/null
+++ b/http/server.c
@@ -0,0 +1,381 @@
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+#include <unistd.h>
+
+#include "http/server.h"
+
+/* How often connections are looked at for idle and header timeouts. */
+#define SWEEP_US (250 * BF_US_PER_MS)
+
+struct bf_http_conn {
+	bf_tcp_t tcp; /* first member */
+	bf_http_reader_t reader;
+	bf_http_server_t *server;
+	bf_http_conn_t *next;
+	bf_http_conn_t **previous;
+	struct sockaddr_in from;
+	bf_http_request_t *first;
+	bf_http_request_t **last;
+	bf_time_us_t now_us;     /* of the round that reads */
+	bf_time_us_t began_us;   /* of the message being read; 0: none */
+	bool in_head;            /* its head is not whole yet */
+	bf_time_us_t active_us;  /* last byte read or answer written */
+	bf_time_us_t idle_us;    /* longest idle time promised */
+	bool reading_ended;      /* what comes after is not read */
+};
+
+static bf_http_conn_t *
+conn_of(bf_tcp_t *tcp)
+{
+	return (bf_http_conn_t *)(void *)tcp;
+}
+
+static void
+free_request(bf_http_request_t *request)
+{
+	bf_http_message_free(request->message);
+	bf_bytes_free(&request->answer);
+	bf_loop_release(request->conn->server->loop, request);
+}
+
+/* Frees a connection; requests without an answer are abandoned. */
+static void
+drop_conn(bf_http_conn_t *conn, bf_time_us_t now_us)
+{
+	bf_http_server_t *server = conn->server;
+	bf_http_request_t *request;
+
+	bf_tcp_close(&conn->tcp);
+	*conn->previous = conn->next;
+	if (conn->next != NULL)
+		conn->next->previous = conn->previous;
+	server->conn_count--;
+	while ((request = conn->first) != NULL) {
+		conn->first = request->next;
+		if (!request->answered && request->user != NULL)
+			server->vtable->abandoned(server, request, now_us);
+		free_request(request);
+	}
+	bf_http_reader_clear(&conn->reader);
+	bf_loop_release(server->loop, conn);
+}
+
+/* Hands the answers at the head of the queue to the connection. */
+static void
+write_answers(bf_http_conn_t *conn)
+{
+	bf_http_request_t *request;
+	bool close_after = false;
+
+	while ((request = conn->first) != NULL && request->answered) {
+		bf_bytes_add(&conn->tcp.out, bf_bytes_at(&request->answer),
+		    bf_bytes_count(&request->answer));
+		close_after = request->close_after;
+		conn->first = request->next;
+		if (conn->first == NULL)
+			conn->last = &conn->first;
+		free_request(request);
+		if (close_after)
+			break;
+	}
+	if (close_after) {
+		conn->reading_ended = true;
+		bf_tcp_finish(&conn->tcp);
+	}
+	bf_tcp_send_later(&conn->tcp);
+}
+
+const char *
+bf_http_reason(uint32_t status)
+{
+	switch (status) {
+#define REASON(number, name, string) \
+	case number:                 \
+		return #string;
+		HTTP_STATUS_MAP(REASON)
+#undef REASON
+	default:
+		return "Unknown";
+	}
+}
+
+static bool
+is_without_body(const bf_http_request_t *request, uint32_t status)
+{
+	return status == 204 || status == 304 ||
+	    (request->message != NULL && request->message->method == HTTP_HEAD);
+}
+
+void
+bf_http_answer(bf_http_request_t *request, uint32_t status,
+    const char *fields, const void *body, size_t body_bytes)
+{
+	bf_http_conn_t *conn = request->conn;
+	bf_bytes_t *out = &request->answer;
+
+	if (conn->server->closing ||
+	    (request->message != NULL && !request->message->keep_alive))
+		request->close_after = true;
+	bf_bytes_format(out, "HTTP/1.1 %u %s\r\n%s", (unsigned int)status,
+	    bf_http_reason(status), fields);
+	if (status != 204 && status != 304)
+		bf_bytes_format(out, "Content-Length: %zu\r\n", body_bytes);
+	if (request->close_after)
+		bf_bytes_text(out, "Connection: close\r\n");
+	bf_bytes_text(out, "\r\n");
+	if (!is_without_body(request, status))
+		bf_bytes_add(out, body, body_bytes);
+	request->answered = true;
+	request->user = NULL;
+	if (out->failed)
+		request->close_after = true;
+	if (conn->first == request)
+		write_answers(conn);
+}
+
+void
+bf_http_abort(bf_http_request_t *request)
+{
+	request->answered = true;
+	request->user = NULL;
+	request->close_after = true;
+	bf_bytes_clear(&request->answer);
+	if (request->conn->first == request)
+		write_answers(request->conn);
+}
+
+static bf_http_request_t *
+add_request(bf_http_conn_t *conn, bf_http_message_t *message)
+{
+	bf_http_request_t *request;
+
+	request = calloc(1, sizeof(*request));
+	if (request == NULL)
+		return NULL;
+	request->conn = conn;
+	request->message = message;
+	request->from = conn->from;
+	request->began_us = conn->began_us;
+	*conn->last = request;
+	conn->last = &request->next;
+	return request;
+}
+
+static void
+on_head(bf_http_reader_t *reader, bf_http_message_t *message)
+{
+	bf_http_conn_t *conn = BF_CONTAINER(reader, bf_http_conn_t, reader);
+	const char *expect;
+
+	conn->began_us = conn->now_us;
+	conn->in_head = false;
+	expect = bf_http_find(message, "Expect");
+	if (expect != NULL && strcasecmp(expect, "100-continue") == 0 &&
+	    conn->first == NULL)
+		bf_tcp_send(&conn->tcp, "HTTP/1.1 100 Continue\r\n\r\n", 25);
+}
+
+static void
+on_message(bf_http_reader_t *reader, bf_http_message_t *message)
+{
+	bf_http_conn_t *conn = BF_CONTAINER(reader, bf_http_conn_t, reader);
+	bf_http_request_t *request;
+
+	if (conn->reading_ended) {
+		bf_http_message_free(message);
+		return;
+	}
+	request = add_request(conn, message);
+	conn->began_us = 0;
+	if (request == NULL) {
+		bf_http_message_free(message);
+		return;
+	}
+	if (!message->keep_alive)
+		conn->reading_ended = true;
+	conn->server->vtable->request(conn->server, request, conn->now_us);
+}
+
+static const bf_http_reader_vtable_t reader_vtable = {
+	.head = on_head,
+	.message = on_message,
+};
+
+/* Answers what cannot be read, behind the answers that are due. */
+static void
+refuse(bf_http_conn_t *conn, uint32_t status)
+{
+	bf_http_request_t *request;
+
+	conn->reading_ended = true;
+	request = add_request(conn, NULL);
+	if (request == NULL)
+		return;
+	request->close_after = true;
+	bf_http_answer(request, status, "", "", 0);
+}
+
+static void
+conn_received(
+    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = conn_of(tcp);
+
+	conn->now_us = now_us;
+	conn->active_us = now_us;
+	if (conn->reading_ended)
+		return;
+	if (conn->began_us == 0) {
+		conn->began_us = now_us;
+		conn->in_head = true;
+	}
+	conn->reader.head_bytes_max = conn->server->limits.head_bytes;
+	conn->reader.body_bytes_max = conn->server->limits.body_bytes;
+	switch (bf_http_reader_feed(&conn->reader, data, bytes)) {
+	case BF_HTTP_OK:
+		if (conn->reader.message == NULL) {
+			conn->began_us = 0;
+		} else if (conn->began_us == 0) {
+			/* The next request of a pipeline. */
+			conn->began_us = now_us;
+			conn->in_head = true;
+		}
+		break;
+	case BF_HTTP_HEAD_TOO_LARGE:
+		refuse(conn, 431);
+		break;
+	case BF_HTTP_BODY_TOO_LARGE:
+		refuse(conn, 413);
+		break;
+	case BF_HTTP_MALFORMED:
+		refuse(conn, 400);
+		break;
+	case BF_HTTP_NO_MEMORY:
+		refuse(conn, 503);
+		break;
+	}
+}
+
+static void
+conn_ended(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
+{
+	(void)orderly;
+	drop_conn(conn_of(tcp), now_us);
+}
+
+static const bf_tcp_vtable_t conn_vtable = {
+	.received = conn_received,
+	.ended = conn_ended,
+};
+
+static void
+on_accepted(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
+    bf_time_us_t now_us)
+{
+	bf_http_server_t *server =
+	    BF_CONTAINER(listener, bf_http_server_t, listener);
+	bf_http_conn_t *conn;
+
+	if (server->conn_max != 0 && server->conn_count >= server->conn_max) {
+		close(fd);
+		return;
+	}
+	conn = calloc(1, sizeof(*conn));
+	if (conn == NULL) {
+		close(fd);
+		return;
+	}
+	if (bf_tcp_adopt(&conn->tcp, &conn_vtable, server->loop, fd, NULL) !=
+	    BF_OK) {
+		free(conn);
+		return;
+	}
+	bf_http_reader_init(&conn->reader, &reader_vtable, true);
+	conn->server = server;
+	conn->from = *from;
+	conn->last = &conn->first;
+	conn->active_us = now_us;
+	conn->idle_us = server->limits.idle_us;
+	conn->next = server->conns;
+	if (conn->next != NULL)
+		conn->next->previous = &conn->next;
+	conn->previous = &server->conns;
+	server->conns = conn;
+	server->conn_count++;
+}
+
+static bool
+is_idle(const bf_http_conn_t *conn)
+{
+	return conn->first == NULL && conn->began_us == 0 &&
+	    bf_tcp_unsent(&conn->tcp) == 0;
+}
+
+static void
+sweep_conn(bf_http_conn_t *conn, bf_time_us_t now_us)
+{
+	bf_http_server_t *server = conn->server;
+
+	if (is_idle(conn)) {
+		if (now_us - conn->active_us > conn->idle_us)
+			drop_conn(conn, now_us);
+		return;
+	}
+	/* A head that does not end; bodies are bounded by their deadline. */
+	if (conn->began_us != 0 && conn->in_head && !conn->reading_ended &&
+	    now_us - conn->began_us > server->limits.head_us)
+		refuse(conn, 408);
+}
+
+static void
+sweep(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_http_server_t *server =
+	    BF_CONTAINER(timer, bf_http_server_t, sweep);
+	bf_http_conn_t *conn, *next;
+
+	for (conn = server->conns; conn != NULL; conn = next) {
+		next = conn->next;
+		sweep_conn(conn, now_us);
+	}
+	bf_loop_timer(server->loop, timer, now_us + SWEEP_US);
+}
+
+bf_code_t
+bf_http_server_open(bf_http_server_t *server, bf_loop_t *loop,
+    const struct sockaddr_in *address, bf_time_us_t now_us, bf_error_t *err)
+{
+	server->loop = loop;
+	server->listener.accepted = on_accepted;
+	server->sweep.fire = sweep;
+	bf_loop_timer(loop, &server->sweep, now_us + SWEEP_US);
+	return bf_listener_open(&server->listener, loop, address, err);
+}
+
+void
+bf_http_server_limit(bf_http_server_t *server, const bf_http_limits_t *limits)
+{
+	bf_http_conn_t *conn;
+
+	server->limits = *limits;
+	for (conn = server->conns; conn != NULL; conn = conn->next) {
+		if (conn->idle_us < limits->idle_us)
+			conn->idle_us = limits->idle_us;
+	}
+}
+
+void
+bf_http_server_drain(bf_http_server_t *server)
+{
+	server->closing = true;
+}
+
+void
+bf_http_server_close(bf_http_server_t *server)
+{
+	bf_listener_close(&server->listener);
+	bf_loop_timer_cancel(server->loop, &server->sweep);
+	while (server->conns != NULL)
+		drop_conn(server->conns, bf_clock_monotonic_us());
+}
--- /dev/null
+++ b/mesh/entry.c
@@ -0,0 +1,726 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <strings.h>
+
+#include "mesh/internal.h"
+
+/*
+ * Calls that entered at this node: the route, the offers to nodes beside
+ * targets, and the one answer.
+ *
+ * A node that refuses an offer says that it has not run, so the next is asked
+ * at once and at no cost to the shared budget of repeats.  What may have run
+ * is repeated only where the route allows it and the budget has room.
+ */
+
+/* Nodes asked before a call is refused for want of room. */
+#define BUSY_OFFERS_MAX 3
+/* A body that is larger is not carried to several nodes to ask for room. */
+#define BODY_CARRIED_BYTES 8192
+/* The target's own word at the deadline is waited for this long. */
+#define LATE_US (60 * BF_US_PER_MS)
+/* Network time to a node and back, in the own zone and beyond. */
+#define NEAR_US 300
+#define FAR_US 2500
+/* When no node said when there is room. */
+#define RETRY_AFTER_US (100 * BF_US_PER_MS)
+#define RETRY_AFTER_MIN_US (30 * BF_US_PER_MS)
+/* A part of the budget is left to what other nodes do at the same time. */
+#define BUDGET_PART 0.5
+#define PLACES_MAX 512
+
+struct bf_entry_call {
+	bf_mesh_t *mesh;
+	bf_http_request_t *request;
+	bf_routing_t *routing;
+	bf_mesh_route_t *route;
+	const char *service;
+	char request_id[BF_REQUEST_ID_BYTES];
+	bf_time_us_t began_us;
+	bf_time_us_t deadline_us;
+	bf_time_us_t objective_us;
+	bool inner;
+	bool may_have_run;
+	uint32_t sends;  /* that reached a target, perhaps */
+	uint32_t offers;
+	uint32_t busy;   /* offers refused for want of room */
+	bf_peer_t *tried[BF_OFFERS_MAX];
+	bf_peer_t *peer; /* that has the offer; NULL: none */
+	uint64_t offer;
+	bf_cause_t cause; /* of the last offer that failed */
+	bf_time_us_t room_us; /* least expected time to room */
+	bf_bytes_t head;
+	bf_timer_t timeout;
+	/* A target's failure, kept in case that a repeat brings no better. */
+	uint32_t kept_status;
+	bf_bytes_t kept_fields;
+	bf_bytes_t kept_body;
+};
+
+const char *
+bf_cause_name(bf_cause_t cause)
+{
+	static const char *const names[BF_CAUSE_COUNT] = { "none", "busy",
+		"draining", "no-target", "expired", "connect", "rejected",
+		"broken", "bad-answer", "timeout", "peer-lost", "no-config",
+		"no-route", "no-place", "memory" };
+
+	return names[cause];
+}
+
+static void
+free_call(bf_entry_call_t *call)
+{
+	bf_mesh_t *mesh = call->mesh;
+
+	if (call->peer != NULL)
+		apr_hash_set(
+		    mesh->calls, &call->offer, sizeof(call->offer), NULL);
+	bf_loop_timer_cancel(mesh->loop, &call->timeout);
+	bf_routing_release(call->routing);
+	bf_bytes_free(&call->head);
+	bf_bytes_free(&call->kept_fields);
+	bf_bytes_free(&call->kept_body);
+	mesh->entry_count--;
+	bf_loop_release(mesh->loop, call);
+}
+
+/* One line a call that was sampled or did not go well. */
+static void
+log_end(const bf_entry_call_t *call, uint32_t status, const char *outcome,
+    bf_cause_t cause, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = call->mesh;
+	bool late = now_us > call->objective_us;
+
+	bf_metric_count(mesh->metrics.calls, outcome, 1);
+	if (cause != BF_CAUSE_NONE)
+		bf_metric_count(
+		    mesh->metrics.causes, bf_cause_name(cause), 1);
+	bf_metric_time(
+	    mesh->metrics.latency, call->service, now_us - call->began_us);
+	if (status < 400 && !bf_events_sampled(mesh->events, call->request_id))
+		return;
+	bf_event(mesh->events, BF_EVENT_FINISHED, now_us,
+	    "s:s,s:s,s:s,s:i,s:s,s:s,s:b,s:I,s:I,s:i,s:i,s:b,s:I", "call",
+	    call->request_id, "route", call->route->name, "service",
+	    call->service, "status", (int)status, "outcome", outcome, "cause",
+	    bf_cause_name(cause), "late", (int)late, "took_us",
+	    (json_int_t)(now_us - call->began_us), "left_us",
+	    (json_int_t)(call->deadline_us - now_us), "offers",
+	    (int)call->offers, "sends", (int)call->sends, "inner",
+	    (int)call->inner, "config_version",
+	    (json_int_t)bf_routing_version(call->routing));
+}
+
+static void
+finish(bf_entry_call_t *call, uint32_t status, const char *fields,
+    const void *body, size_t body_bytes)
+{
+	bf_http_request_t *request = call->request;
+
+	free_call(call);
+	bf_http_answer(request, status, fields, body, body_bytes);
+}
+
+/* A pause that spreads the returns of callers that were refused together. */
+static bf_time_us_t
+retry_after_us(bf_mesh_t *mesh, bf_time_us_t room_us)
+{
+	bf_time_us_t pause_us = room_us > 0 ? room_us : RETRY_AFTER_US;
+
+	if (pause_us < RETRY_AFTER_MIN_US)
+		pause_us = RETRY_AFTER_MIN_US;
+	return pause_us +
+	    (bf_time_us_t)(bf_place_random(&mesh->random) %
+		(uint64_t)pause_us);
+}
+
+static void
+retry_after_field(
+    bf_mesh_t *mesh, bf_time_us_t room_us, char *field, size_t bytes)
+{
+	(void)snprintf(field, bytes, "Retry-After: %.3f\r\n",
+	    (double)retry_after_us(mesh, room_us) / BF_US_PER_S);
+}
+
+/* Ends a call without an answer of a target. */
+static void
+give_up(bf_entry_call_t *call, bf_cause_t cause, bf_time_us_t now_us)
+{
+	char field[64] = "";
+	uint32_t status;
+
+	if (call->kept_status != 0) {
+		log_end(call, call->kept_status, "failed", cause, now_us);
+		finish(call, call->kept_status,
+		    (const char *)bf_bytes_at(&call->kept_fields),
+		    bf_bytes_at(&call->kept_body),
+		    bf_bytes_count(&call->kept_body));
+		return;
+	}
+	if (!call->may_have_run) {
+		retry_after_field(
+		    call->mesh, call->room_us, field, sizeof(field));
+		log_end(call, 503, "not-run", cause, now_us);
+		finish(call, 503, field, "", 0);
+		return;
+	}
+	status = cause == BF_CAUSE_TIMEOUT ? 504 : 502;
+	log_end(call, status, "unknown", cause, now_us);
+	finish(call, status, field, "", 0);
+}
+
+static bf_budget_t *
+budget_of(bf_mesh_t *mesh, const char *service)
+{
+	bf_service_budget_t *entry;
+	double part, burst;
+	uint32_t i;
+
+	for (i = 0; i < mesh->budget_count; i++) {
+		if (strcmp(mesh->budgets[i].service, service) == 0)
+			return &mesh->budgets[i].budget;
+	}
+	if (mesh->budget_count == BF_SERVICES_MAX)
+		return NULL;
+	entry = &mesh->budgets[mesh->budget_count++];
+	(void)snprintf(
+	    entry->service, sizeof(entry->service), "%s", service);
+	part = BUDGET_PART * mesh->options.retry_share_ppm;
+	burst = BUDGET_PART * mesh->options.retry_burst / mesh->peer_count;
+	bf_budget_init(&entry->budget, (uint32_t)part,
+	    burst < 1 ? 1 : (uint32_t)burst);
+	return &entry->budget;
+}
+
+static bool
+take_repeat(bf_entry_call_t *call)
+{
+	bf_budget_t *budget = budget_of(call->mesh, call->service);
+	bool granted;
+
+	granted = budget != NULL && bf_budget_take(budget);
+	bf_metric_count(
+	    call->mesh->metrics.repeats, granted ? "granted" : "denied", 1);
+	return granted;
+}
+
+static bool
+was_tried(const bf_entry_call_t *call, const bf_peer_t *peer)
+{
+	uint32_t i;
+
+	for (i = 0; i < call->offers; i++) {
+		if (call->tried[i] == peer)
+			return true;
+	}
+	return false;
+}
+
+static bool
+takes_version(const char *version, const char *wanted, int which)
+{
+	if (which == 0)
+		return true;
+	return (strcmp(version, wanted) == 0) == (which > 0);
+}
+
+/* The places that a call may be offered to. */
+static size_t
+list_places(bf_entry_call_t *call, const char *version, int which,
+    bf_place_t *places, bf_peer_t **peers, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = call->mesh;
+	const bf_node_state_t *state;
+	bf_node_state_t own;
+	size_t count = 0;
+	bf_peer_t *peer;
+
+	for (peer = mesh->peers; peer != NULL && count < PLACES_MAX;
+	     peer = peer->next) {
+		if (peer->self) {
+			own = bf_mesh_state(mesh, now_us);
+			state = &own;
+		} else {
+			state = &peer->state;
+		}
+		if (!peer->open || !peer->heard ||
+		    (state->stopping && !peer->self) ||
+		    state->target_state != BF_TARGET_READY ||
+		    state->load.slots == 0 ||
+		    strcmp(state->service, call->service) != 0 ||
+		    !takes_version(state->version, version, which) ||
+		    was_tried(call, peer))
+			continue;
+		places[count] = (bf_place_t){
+			.slots = state->load.slots,
+			.running = state->load.running,
+			.waiting = state->load.waiting,
+			.sent = peer->self ? 0 : peer->sent,
+			.mean_us = state->load.mean_us,
+			.failing_ppm = state->load.failing_ppm,
+			.distance_us = peer->self ? 0
+			    : peer->near	  ? NEAR_US
+						  : FAR_US,
+			.near = peer->near,
+			.doubtful = peer->silent,
+		};
+		peers[count++] = peer;
+	}
+	return count;
+}
+
+/*
+ * Places of the version that a move gives the call to; if there are none, of
+ * the others, but never of a version that was taken back.
+ */
+static size_t
+find_places(bf_entry_call_t *call, bf_place_t *places, bf_peer_t **peers,
+    bf_time_us_t now_us)
+{
+	const char *version = "";
+	size_t count;
+	int which;
+
+	which = bf_movement_choose(call->mesh, call->service, &version);
+	count = list_places(call, version, which, places, peers, now_us);
+	if (count > 0 || which <= 0)
+		return count;
+	return list_places(call, version, -which, places, peers, now_us);
+}
+
+static bool
+has_body(const bf_http_message_t *message)
+{
+	return bf_bytes_count(&message->body) > 0 ||
+	    bf_http_find(message, "Content-Length") != NULL ||
+	    bf_http_find(message, "Transfer-Encoding") != NULL;
+}
+
+static void
+send_offer(bf_entry_call_t *call, bf_peer_t *peer, bool on_time,
+    bf_time_us_t now_us)
+{
+	const bf_http_message_t *message = call->request->message;
+	bf_mesh_t *mesh = call->mesh;
+	bf_offer_t offer = {
+		.request_id = call->request_id,
+		.route = call->route->name,
+		.inner = call->inner,
+		.repeatable = bf_route_repeatable(call->route),
+		.on_time = on_time,
+		.head_request = message->method == HTTP_HEAD,
+		.priority = call->route->priority,
+		.left_us = call->deadline_us - now_us,
+		.objective_left_us = call->objective_us - now_us,
+		.head = &call->head,
+		.body = message->body.data + message->body.start,
+		.body_bytes = bf_bytes_count(&message->body),
+		.has_body = has_body(message),
+	};
+
+	call->offer = ++mesh->last_offer;
+	offer.id = call->offer;
+	call->tried[call->offers++] = peer;
+	call->peer = peer;
+	apr_hash_set(mesh->calls, &call->offer, sizeof(call->offer), call);
+	if (bf_events_sampled(mesh->events, call->request_id))
+		bf_event(mesh->events, BF_EVENT_PLACED, now_us,
+		    "s:s,s:s,s:i,s:s,s:i,s:i,s:i,s:I,s:b", "call",
+		    call->request_id, "peer", peer->instance, "offer",
+		    (int)call->offers, "target", peer->state.target,
+		    "running", (int)peer->state.load.running, "waiting",
+		    (int)peer->state.load.waiting, "sent", (int)peer->sent,
+		    "load_age_us",
+		    (json_int_t)(peer->self
+			    ? 0
+			    : now_us - peer->link->heard_us),
+		    "on_time", (int)on_time);
+	peer->sent++;
+	if (peer->self) {
+		offer.target = mesh->target.beat.id;
+		bf_target_offer(mesh, NULL, &offer, now_us);
+		return;
+	}
+	offer.target = peer->state.target;
+	bf_entry_write_offer(&mesh->writer, &offer);
+	bf_mesh_link_send(peer->link, BF_FRAME_CALL, offer.id, &mesh->writer,
+	    &message->body, now_us);
+}
+
+/* Offers the call to the next node, or gives it up. */
+static void
+place(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	static bf_place_t places[PLACES_MAX];
+	static bf_peer_t *peers[PLACES_MAX];
+	size_t count, chosen;
+	bool on_time;
+
+	if (now_us >= call->deadline_us) {
+		give_up(call, BF_CAUSE_EXPIRED, now_us);
+		return;
+	}
+	count = find_places(call, places, peers, now_us);
+	if (count == 0 || call->offers == BF_OFFERS_MAX ||
+	    call->busy == BUSY_OFFERS_MAX) {
+		give_up(call,
+		    call->offers > 0 ? call->cause : BF_CAUSE_NO_PLACE,
+		    now_us);
+		return;
+	}
+	chosen = bf_place_choose(places, count, &call->mesh->random);
+	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX &&
+	    bf_bytes_count(&call->request->message->body) <=
+		BODY_CARRIED_BYTES;
+	send_offer(call, peers[chosen], on_time, now_us);
+}
+
+static void
+end_offer(bf_entry_call_t *call)
+{
+	if (call->peer == NULL)
+		return;
+	apr_hash_set(
+	    call->mesh->calls, &call->offer, sizeof(call->offer), NULL);
+	call->peer = NULL;
+}
+
+/* Whether one more target may be sent a call that a target has, or had. */
+static bool
+may_repeat(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	return call->sends < call->route->attempts &&
+	    call->offers < BF_OFFERS_MAX &&
+	    call->deadline_us - now_us > BF_US_PER_MS && take_repeat(call);
+}
+
+static void
+take_refusal(
+    bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
+{
+	call->cause = reply->cause;
+	bf_metric_count(
+	    call->mesh->metrics.offers, bf_cause_name(reply->cause), 1);
+	if (reply->expected_us > 0 &&
+	    (call->room_us == 0 || reply->expected_us < call->room_us))
+		call->room_us = reply->expected_us;
+	if (bf_events_sampled(call->mesh->events, call->request_id))
+		bf_event(call->mesh->events, BF_EVENT_BOUNCED, now_us,
+		    "s:s,s:i,s:s,s:I,s:I", "call", call->request_id, "offer",
+		    (int)call->offers, "cause", bf_cause_name(reply->cause),
+		    "waited_us", (json_int_t)reply->waited_us, "room_in_us",
+		    (json_int_t)reply->expected_us);
+	if (reply->cause == BF_CAUSE_BUSY)
+		call->busy++;
+	if (reply->cause == BF_CAUSE_EXPIRED) {
+		give_up(call, reply->cause, now_us);
+		return;
+	}
+	if (reply->cause == BF_CAUSE_REJECTED) {
+		/* It reached a target, which makes the next one a repeat. */
+		call->sends++;
+		if (!may_repeat(call, now_us)) {
+			give_up(call, reply->cause, now_us);
+			return;
+		}
+	}
+	place(call, now_us);
+}
+
+static void
+take_unknown(bf_entry_call_t *call, bf_cause_t cause, bf_time_us_t now_us)
+{
+	call->cause = cause;
+	call->sends++;
+	call->may_have_run = true;
+	bf_metric_count(call->mesh->metrics.offers, bf_cause_name(cause), 1);
+	if (bf_route_repeatable(call->route) && may_repeat(call, now_us))
+		place(call, now_us);
+	else
+		give_up(call, cause, now_us);
+}
+
+/*
+ * A target's own failure: another target may do better, where a repeat does
+ * no harm and there is time for it.
+ */
+static bool
+repeat_failure(
+    bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
+{
+	if (reply->status < 500 || !bf_route_repeatable(call->route) ||
+	    call->kept_status != 0 ||
+	    call->deadline_us - now_us < reply->spent_us ||
+	    !may_repeat(call, now_us))
+		return false;
+	call->kept_status = reply->status;
+	bf_bytes_add(&call->kept_fields, reply->fields,
+	    strlen(reply->fields) + 1);
+	bf_bytes_add(&call->kept_body, reply->body, reply->body_bytes);
+	place(call, now_us);
+	return true;
+}
+
+static void
+take_answer(
+    bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
+{
+	call->sends++;
+	call->may_have_run = true;
+	bf_metric_count(call->mesh->metrics.offers,
+	    reply->status < 500 ? "answered" : "failed", 1);
+	if (repeat_failure(call, reply, now_us))
+		return;
+	log_end(call, reply->status,
+	    reply->status < 500 ? "answered" : "failed", BF_CAUSE_NONE,
+	    now_us);
+	finish(call, reply->status, reply->fields, reply->body,
+	    reply->body_bytes);
+}
+
+void
+bf_entry_reply(bf_mesh_t *mesh, uint64_t offer, const bf_reply_t *reply,
+    bf_time_us_t now_us)
+{
+	bf_entry_call_t *call;
+
+	call = apr_hash_get(mesh->calls, &offer, sizeof(offer));
+	if (call == NULL)
+		return; /* given up meanwhile */
+	end_offer(call);
+	switch (reply->end) {
+	case BF_END_ANSWERED:
+		take_answer(call, reply, now_us);
+		break;
+	case BF_END_NOT_RUN:
+		take_refusal(call, reply, now_us);
+		break;
+	case BF_END_UNKNOWN:
+		take_unknown(call, reply->cause, now_us);
+		break;
+	}
+}
+
+static void
+cancel_offer(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = call->mesh;
+	bf_peer_t *peer = call->peer;
+	uint64_t offer = call->offer;
+
+	if (peer == NULL)
+		return;
+	end_offer(call);
+	if (peer->self)
+		bf_target_cancel(mesh, NULL, offer, now_us);
+	else if (peer->open)
+		bf_mesh_link_send(peer->link, BF_FRAME_CANCEL, offer, NULL,
+		    NULL, now_us);
+}
+
+void
+bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+	bf_entry_call_t *call, **lost;
+	apr_hash_index_t *at;
+	size_t count = 0, i;
+
+	lost = calloc(apr_hash_count(mesh->calls) + 1, sizeof(*lost));
+	if (lost == NULL)
+		return;
+	for (at = apr_hash_first(NULL, mesh->calls); at != NULL;
+	     at = apr_hash_next(at)) {
+		call = apr_hash_this_val(at);
+		/* A silent node may still answer what must not run twice. */
+		if (call->peer == peer &&
+		    (gone || bf_route_repeatable(call->route)))
+			lost[count++] = call;
+	}
+	for (i = 0; i < count; i++) {
+		cancel_offer(lost[i], now_us);
+		take_unknown(lost[i], BF_CAUSE_PEER_LOST, now_us);
+	}
+	free(lost);
+}
+
+static void
+on_timeout(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_entry_call_t *call = BF_CONTAINER(timer, bf_entry_call_t, timeout);
+
+	if (call->peer != NULL) {
+		cancel_offer(call, now_us);
+		call->may_have_run = true;
+	}
+	give_up(call, BF_CAUSE_TIMEOUT, now_us);
+}
+
+/* The request as the target is to get it, but for what its node adds. */
+static void
+write_head(bf_entry_call_t *call)
+{
+	const bf_http_message_t *message = call->request->message;
+	const bf_dialect_t *dialect = call->mesh->dialect;
+	const char *name;
+	uint32_t i;
+
+	bf_bytes_format(&call->head, "%s %s HTTP/1.1\r\n",
+	    http_method_str((enum http_method)message->method),
+	    bf_http_target(message));
+	for (i = 0; i < message->field_count; i++) {
+		name = bf_http_name(message, i);
+		if (bf_http_hop_by_hop(message, name) ||
+		    strcasecmp(name, dialect->time_left_ms) == 0 ||
+		    strcasecmp(name, dialect->expected_target) == 0 ||
+		    strcasecmp(name, dialect->caller_service) == 0)
+			continue;
+		bf_bytes_format(&call->head, "%s: %s\r\n", name,
+		    bf_http_value(message, i));
+	}
+	bf_bytes_format(&call->head, "%s: %s\r\n", dialect->caller_service,
+	    call->mesh->service);
+}
+
+/* Answers a request that no call is made of. */
+static void
+answer_own(bf_mesh_t *mesh, bf_http_request_t *request, uint32_t status,
+    bf_cause_t cause, bf_time_us_t now_us)
+{
+	char field[64] = "";
+	const char *id;
+
+	id = bf_http_find(request->message, mesh->dialect->request_id);
+	if (status == 503)
+		retry_after_field(mesh, 0, field, sizeof(field));
+	bf_metric_count(mesh->metrics.calls, "not-run", 1);
+	bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
+	bf_event(mesh->events, BF_EVENT_FINISHED, now_us,
+	    "s:s,s:i,s:s,s:s,s:I", "call", id != NULL ? id : "", "status",
+	    (int)status, "outcome", "not-run", "cause", bf_cause_name(cause),
+	    "config_version",
+	    (json_int_t)(mesh->routing != NULL
+		    ? bf_routing_version(mesh->routing)
+		    : 0));
+	bf_http_answer(request, status, field, "", 0);
+}
+
+static void
+set_times(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	const bf_http_message_t *message = call->request->message;
+	uint64_t timeout_ms, left_ms;
+
+	call->began_us = call->request->began_us;
+	if (call->began_us == 0 || call->began_us > now_us)
+		call->began_us = now_us;
+	timeout_ms = call->route->timeout_ms;
+	left_ms = bf_http_number(
+	    bf_http_find(message, call->mesh->dialect->time_left_ms),
+	    timeout_ms);
+	if (left_ms > timeout_ms)
+		left_ms = timeout_ms;
+	call->deadline_us =
+	    call->began_us + (bf_time_us_t)left_ms * BF_US_PER_MS;
+	/* A caller that came back has used up part of its objective. */
+	call->objective_us = call->deadline_us -
+	    ((bf_time_us_t)timeout_ms - call->route->objective_ms) *
+		BF_US_PER_MS;
+	if (call->objective_us > call->deadline_us)
+		call->objective_us = call->deadline_us;
+}
+
+static void
+on_request(
+    bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(server, bf_mesh_t, callers);
+	const char *host, *id;
+	bf_mesh_route_t *route;
+	bf_entry_call_t *call;
+	bf_budget_t *budget;
+
+	if (mesh->routing == NULL) {
+		answer_own(mesh, request, 503, BF_CAUSE_NO_CONFIG, now_us);
+		return;
+	}
+	host = bf_http_find(request->message, "Host");
+	route = host != NULL ? bf_routing_match(mesh->routing, host,
+				   bf_http_target(request->message))
+			     : NULL;
+	if (route == NULL) {
+		answer_own(mesh, request, 404, BF_CAUSE_NO_ROUTE, now_us);
+		return;
+	}
+	call = calloc(1, sizeof(*call));
+	if (call == NULL) {
+		answer_own(mesh, request, 503, BF_CAUSE_MEMORY, now_us);
+		return;
+	}
+	call->mesh = mesh;
+	call->request = request;
+	call->routing = mesh->routing;
+	bf_routing_hold(mesh->routing);
+	call->route = route;
+	call->service = bf_route_service(route);
+	call->inner = request->from.sin_addr.s_addr ==
+	    mesh->options.target.sin_addr.s_addr;
+	id = bf_http_find(request->message, mesh->dialect->request_id);
+	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
+	    id != NULL ? id : "");
+	request->user = call;
+	mesh->entry_count++;
+	set_times(call, now_us);
+	call->timeout.fire = on_timeout;
+	bf_loop_timer(mesh->loop, &call->timeout, call->deadline_us + LATE_US);
+	write_head(call);
+	budget = budget_of(mesh, call->service);
+	if (budget != NULL)
+		bf_budget_earn(budget);
+	place(call, now_us);
+}
+
+static void
+on_abandoned(
+    bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(server, bf_mesh_t, callers);
+	bf_entry_call_t *call = request->user;
+
+	bf_metric_count(mesh->metrics.calls, "abandoned", 1);
+	if (bf_events_sampled(mesh->events, call->request_id))
+		bf_event(mesh->events, BF_EVENT_CANCELLED, now_us,
+		    "s:s,s:s,s:I", "call", call->request_id, "at", "entry",
+		    "after_us", (json_int_t)(now_us - call->began_us));
+	cancel_offer(call, now_us);
+	free_call(call);
+}
+
+static const bf_http_server_vtable_t callers_vtable = {
+	.request = on_request,
+	.abandoned = on_abandoned,
+};
+
+/* Limits until a configuration is known. */
+#define HEAD_BYTES_FIRST 16384
+#define BODY_BYTES_FIRST (UINT64_C(64) << 20)
+#define HEAD_FIRST_US (3 * BF_US_PER_S)
+#define IDLE_FIRST_US (15 * BF_US_PER_S)
+
+bf_code_t
+bf_entry_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err)
+{
+	mesh->callers.vtable = &callers_vtable;
+	mesh->callers.conn_max = mesh->options.connections_max;
+	mesh->callers.limits = (bf_http_limits_t){
+		.head_bytes = HEAD_BYTES_FIRST,
+		.body_bytes = BODY_BYTES_FIRST,
+		.head_us = HEAD_FIRST_US,
+		.idle_us = IDLE_FIRST_US,
+	};
+	return bf_http_server_open(&mesh->callers, mesh->loop,
+	    &mesh->options.callers, now_us, err);
+}
--- /dev/null
+++ b/mesh/link.c
@@ -0,0 +1,203 @@
+#include <endian.h>
+#include <string.h>
+
+#include "mesh/link.h"
+
+/* payload bytes (4), body bytes (4), kind (1), call (8), sender's clock (8) */
+#define HEAD_BYTES 25
+/* Delays are measured against the fastest frame of one to two spans. */
+#define SPAN_US BF_US_PER_S
+
+static bf_mesh_link_t *
+link_of(bf_tcp_t *tcp)
+{
+	return (bf_mesh_link_t *)(void *)tcp;
+}
+
+/*
+ * The clocks of two nodes differ by an unknown offset, which also jumps when
+ * one was suspended; the least difference of late stands for it.
+ */
+static bf_time_us_t
+delay_of(bf_mesh_link_t *link, bf_time_us_t sent_us, bf_time_us_t now_us)
+{
+	bf_time_us_t took_us = now_us - sent_us, least_us;
+
+	if (!link->spans_known) {
+		link->spans_known = true;
+		link->span_us = now_us;
+		link->least_us[0] = took_us;
+		link->least_us[1] = took_us;
+	} else if (now_us - link->span_us >= SPAN_US) {
+		link->span_us = now_us;
+		link->least_us[1] = link->least_us[0];
+		link->least_us[0] = took_us;
+	} else if (took_us < link->least_us[0]) {
+		link->least_us[0] = took_us;
+	}
+	least_us = link->least_us[0] < link->least_us[1] ? link->least_us[0]
+							 : link->least_us[1];
+	return took_us - least_us;
+}
+
+/* Reads one frame from the start of data; its length, or 0: not whole yet. */
+static size_t
+read_frame(bf_mesh_link_t *link, const uint8_t *data, size_t bytes,
+    bf_frame_t *frame, bf_time_us_t now_us)
+{
+	uint32_t payload_bytes, body_bytes;
+	uint64_t call, sent_us;
+
+	if (bytes < HEAD_BYTES)
+		return 0;
+	memcpy(&payload_bytes, data, sizeof(payload_bytes));
+	memcpy(&body_bytes, data + 4, sizeof(body_bytes));
+	payload_bytes = le32toh(payload_bytes);
+	body_bytes = le32toh(body_bytes);
+	if (payload_bytes > BF_MESSAGE_BYTES_MAX ||
+	    body_bytes > BF_FRAME_BODY_BYTES_MAX)
+		return SIZE_MAX;
+	if (bytes - HEAD_BYTES < (size_t)payload_bytes + body_bytes)
+		return 0;
+	memcpy(&call, data + 9, sizeof(call));
+	memcpy(&sent_us, data + 17, sizeof(sent_us));
+	*frame = (bf_frame_t){
+		.kind = (bf_frame_kind_t)data[8],
+		.call = le64toh(call),
+		.payload = data + HEAD_BYTES,
+		.payload_bytes = payload_bytes,
+		.body = data + HEAD_BYTES + payload_bytes,
+		.body_bytes = body_bytes,
+	};
+	frame->delay_us =
+	    delay_of(link, (bf_time_us_t)le64toh(sent_us), now_us);
+	return HEAD_BYTES + (size_t)payload_bytes + body_bytes;
+}
+
+/* Hands out all whole frames; returns the bytes used, SIZE_MAX for a fault. */
+static size_t
+read_frames(bf_mesh_link_t *link, const uint8_t *data, size_t bytes,
+    bf_time_us_t now_us)
+{
+	size_t used = 0, n;
+	bf_frame_t frame;
+
+	while (bf_tcp_is_open(&link->tcp)) {
+		n = read_frame(link, data + used, bytes - used, &frame, now_us);
+		if (n == SIZE_MAX)
+			return SIZE_MAX;
+		if (n == 0)
+			break;
+		used += n;
+		link->heard_us = now_us;
+		link->vtable->frame(link, &frame, now_us);
+	}
+	return used;
+}
+
+static void
+fault(bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	bf_mesh_link_close(link);
+	link->vtable->ended(link, now_us);
+}
+
+static void
+on_received(
+    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+{
+	bf_mesh_link_t *link = link_of(tcp);
+	size_t used;
+
+	if (bf_bytes_count(&link->in) == 0) {
+		used = read_frames(link, data, bytes, now_us);
+		if (used == SIZE_MAX)
+			fault(link, now_us);
+		else if (bf_tcp_is_open(tcp))
+			bf_bytes_add(&link->in, data + used, bytes - used);
+		return;
+	}
+	bf_bytes_add(&link->in, data, bytes);
+	used = read_frames(link, bf_bytes_at(&link->in),
+	    bf_bytes_count(&link->in), now_us);
+	if (used == SIZE_MAX || link->in.failed)
+		fault(link, now_us);
+	else if (bf_tcp_is_open(tcp))
+		bf_bytes_take(&link->in, used);
+}
+
+static void
+on_opened(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	bf_mesh_link_t *link = link_of(tcp);
+
+	link->heard_us = now_us;
+	link->vtable->opened(link, now_us);
+}
+
+static void
+on_ended(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
+{
+	(void)orderly;
+	bf_bytes_free(&link_of(tcp)->in);
+	link_of(tcp)->vtable->ended(link_of(tcp), now_us);
+}
+
+static const bf_tcp_vtable_t tcp_vtable = {
+	.opened = on_opened,
+	.received = on_received,
+	.ended = on_ended,
+};
+
+bf_code_t
+bf_mesh_link_adopt(bf_mesh_link_t *link, const bf_mesh_link_vtable_t *vtable,
+    bf_loop_t *loop, int fd, bf_time_us_t now_us, bf_error_t *err)
+{
+	link->vtable = vtable;
+	link->heard_us = now_us;
+	return bf_tcp_adopt(&link->tcp, &tcp_vtable, loop, fd, err);
+}
+
+bf_code_t
+bf_mesh_link_dial(bf_mesh_link_t *link, const bf_mesh_link_vtable_t *vtable,
+    bf_loop_t *loop, const struct sockaddr_in *address, bf_time_us_t now_us,
+    bf_error_t *err)
+{
+	link->vtable = vtable;
+	link->heard_us = now_us;
+	return bf_tcp_connect(&link->tcp, &tcp_vtable, loop, address, err);
+}
+
+void
+bf_mesh_link_send(bf_mesh_link_t *link, bf_frame_kind_t kind, uint64_t call,
+    bf_wire_writer_t *writer, const bf_bytes_t *body, bf_time_us_t now_us)
+{
+	size_t bytes = writer != NULL ? writer->buffer.size : 0;
+	size_t more = body != NULL ? bf_bytes_count(body) : 0;
+	uint32_t payload_bytes = htole32((uint32_t)bytes);
+	uint32_t body_bytes = htole32((uint32_t)more);
+	uint64_t sent_us = htole64((uint64_t)now_us);
+	uint8_t head[HEAD_BYTES];
+
+	call = htole64(call);
+	memcpy(head, &payload_bytes, sizeof(payload_bytes));
+	memcpy(head + 4, &body_bytes, sizeof(body_bytes));
+	head[8] = (uint8_t)kind;
+	memcpy(head + 9, &call, sizeof(call));
+	memcpy(head + 17, &sent_us, sizeof(sent_us));
+	bf_bytes_add(&link->tcp.out, head, sizeof(head));
+	if (bytes > 0)
+		bf_bytes_add(&link->tcp.out, writer->buffer.data, bytes);
+	if (more > 0)
+		bf_bytes_add(&link->tcp.out, bf_bytes_at(body), more);
+	bf_tcp_send_later(&link->tcp);
+	if (writer != NULL)
+		bf_wire_writer_clear(writer);
+}
+
+void
+bf_mesh_link_close(bf_mesh_link_t *link)
+{
+	bf_tcp_close(&link->tcp);
+	bf_bytes_free(&link->in);
+}
--- /dev/null
+++ b/mesh/mesh.c
@@ -0,0 +1,213 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "mesh/internal.h"
+
+/* A stopping node is looked at this often. */
+#define STOP_POLL_US (50 * BF_US_PER_MS)
+/* Callers are moved away after two questions, one a second, say no. */
+#define STOP_MIN_US (2500 * BF_US_PER_MS)
+/* The last part of the time allowed is left for ending the process. */
+#define STOP_RESERVE_US (600 * BF_US_PER_MS)
+
+static void
+add_metrics(bf_mesh_t *mesh, bf_metrics_set_t *set)
+{
+	bf_mesh_metrics_t *m = &mesh->metrics;
+
+	m->calls = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_calls_total",
+	    "Calls that entered here, by outcome", "outcome");
+	m->causes = bf_metrics_add(set, BF_METRIC_COUNTER,
+	    "bf_calls_unserved_total",
+	    "Calls that got no answer of a target, by cause", "cause");
+	m->latency = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_call_microseconds", "From the request's head to the answer",
+	    "service");
+	m->offers = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_offers_total",
+	    "Offers of calls to nodes beside targets, by result", "result");
+	m->runs = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_runs_total",
+	    "Calls given to the target beside this node, by result", "result");
+	m->waited = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_wait_microseconds", "Wait for a slot of the target", NULL);
+	m->spent = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_target_microseconds", "Time of a call at the target", NULL);
+	m->repeats = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_repeats_total",
+	    "Repeats of calls that a target may have run", "result");
+	m->store_calls = bf_metrics_add(set, BF_METRIC_COUNTER,
+	    "bf_store_calls_total", "Calls to the store, by kind or failure",
+	    "result");
+	m->peers = bf_metrics_add(
+	    set, BF_METRIC_GAUGE, "bf_peers", "Other nodes, by state", "state");
+	m->config = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_config",
+	    "Configuration in force: its version and its age", "figure");
+	m->queue = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_target_calls",
+	    "Calls at the target beside this node", "state");
+	m->connections = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_connections",
+	    "Open connections, of callers and to the target", "side");
+	m->log_lines = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_log_lines",
+	    "Lines of the event log", "result");
+}
+
+bf_mesh_t *
+bf_mesh_new(const bf_mesh_options_t *options, const bf_dialect_t *dialect,
+    bf_loop_t *loop, bf_kv_t *kv, bf_events_t *events,
+    bf_metrics_set_t *metrics, bf_error_t *err)
+{
+	bf_mesh_t *mesh;
+
+	mesh = calloc(1, sizeof(*mesh));
+	if (mesh == NULL ||
+	    apr_pool_create(&mesh->pool, NULL) != APR_SUCCESS) {
+		free(mesh);
+		bf_error_set(err, BF_ERR_MEMORY, "no memory for a node");
+		return NULL;
+	}
+	mesh->options = *options;
+	mesh->dialect = dialect;
+	mesh->loop = loop;
+	mesh->kv = kv;
+	mesh->events = events;
+	mesh->incarnation = (uint64_t)bf_clock_wall_us();
+	mesh->random =
+	    bf_hash_text(options->instance, mesh->incarnation) | 1;
+	mesh->calls = apr_hash_make(mesh->pool);
+	mesh->callers.listener.source.fd = -1;
+	mesh->listener.source.fd = -1;
+	bf_wire_writer_init(&mesh->writer);
+	bf_mesh_set_service(mesh, options->service);
+	add_metrics(mesh, metrics);
+	bf_target_open(mesh);
+	return mesh;
+}
+
+void
+bf_mesh_set_service(bf_mesh_t *mesh, const char *service)
+{
+	(void)snprintf(mesh->service, sizeof(mesh->service), "%s", service);
+}
+
+bf_code_t
+bf_mesh_start(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err)
+{
+	bf_code_t code;
+
+	code = bf_entry_open(mesh, now_us, err);
+	if (code == BF_OK)
+		code = bf_roster_open(mesh, now_us, err);
+	if (code != BF_OK)
+		return code;
+	bf_registry_start(mesh, now_us);
+	bf_source_start(mesh, now_us);
+	return BF_OK;
+}
+
+void
+bf_mesh_free(bf_mesh_t *mesh)
+{
+	if (mesh == NULL)
+		return;
+	if (mesh->callers.loop != NULL)
+		bf_http_server_close(&mesh->callers);
+	bf_source_stop(mesh);
+	bf_registry_stop(mesh);
+	bf_roster_close(mesh);
+	bf_http_client_reset(&mesh->target.client);
+	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry);
+	bf_routing_release(mesh->routing);
+	bf_bytes_free(&mesh->config);
+	bf_wire_writer_free(&mesh->writer);
+	apr_pool_destroy(mesh->pool);
+	free(mesh);
+}
+
+bool
+bf_mesh_ready(const bf_mesh_t *mesh)
+{
+	return mesh->routing != NULL && !mesh->stopping;
+}
+
+static bool
+is_drained(const bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_time_us_t since_us = now_us - mesh->stop_us;
+
+	if (since_us >= mesh->options.stop_ms * BF_US_PER_MS - STOP_RESERVE_US)
+		return true;
+	return since_us >= STOP_MIN_US && mesh->entry_count == 0 &&
+	    bf_target_busy(mesh) == 0;
+}
+
+static void
+on_stop_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, stop_timer);
+
+	if (!is_drained(mesh, now_us)) {
+		bf_loop_timer(mesh->loop, timer, now_us + STOP_POLL_US);
+		return;
+	}
+	bf_event(mesh->events, BF_EVENT_STOPPED, now_us, "s:i,s:i,s:I",
+	    "entry_calls", (int)mesh->entry_count, "target_calls",
+	    (int)bf_target_busy(mesh), "after_us",
+	    (json_int_t)(now_us - mesh->stop_us));
+	mesh->stopped(mesh->stopped_ctx);
+}
+
+void
+bf_mesh_stop(bf_mesh_t *mesh, void (*stopped)(void *ctx), void *ctx,
+    bf_time_us_t now_us)
+{
+	if (mesh->stopping)
+		return;
+	mesh->stopping = true;
+	mesh->stop_us = now_us;
+	mesh->stopped = stopped;
+	mesh->stopped_ctx = ctx;
+	bf_event(mesh->events, BF_EVENT_STOPPING, now_us, "s:i,s:i",
+	    "entry_calls", (int)mesh->entry_count, "target_calls",
+	    (int)bf_target_busy(mesh));
+	bf_http_server_drain(&mesh->callers);
+	bf_registry_stop(mesh);
+	bf_roster_tell(mesh, now_us);
+	mesh->stop_timer.fire = on_stop_timer;
+	bf_loop_timer(mesh->loop, &mesh->stop_timer, now_us + STOP_POLL_US);
+}
+
+void
+bf_mesh_gauges(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_mesh_metrics_t *m = &mesh->metrics;
+	uint64_t open = 0, silent = 0, closed = 0;
+	const bf_peer_t *peer;
+
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (peer->self)
+			continue;
+		if (!peer->open)
+			closed++;
+		else if (peer->silent)
+			silent++;
+		else
+			open++;
+	}
+	bf_metric_set(m->peers, "open", open);
+	bf_metric_set(m->peers, "silent", silent);
+	bf_metric_set(m->peers, "closed", closed);
+	bf_metric_set(m->config, "version",
+	    mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0);
+	bf_metric_set(m->config, "age_microseconds",
+	    mesh->routing != NULL ? (uint64_t)(now_us - mesh->config_us) : 0);
+	bf_metric_set(m->queue, "running", mesh->target.waiting.running);
+	bf_metric_set(m->queue, "waiting", mesh->target.waiting.count);
+	bf_metric_set(m->queue, "slots", mesh->target.waiting.slots);
+	bf_metric_set(m->connections, "callers", mesh->callers.conn_count);
+	bf_metric_set(
+	    m->connections, "target", mesh->target.client.link_count);
+	if (mesh->events != NULL) {
+		bf_metric_set(m->log_lines, "written",
+		    bf_events_written(mesh->events));
+		bf_metric_set(m->log_lines, "dropped",
+		    bf_events_dropped(mesh->events));
+	}
+}
--- /dev/null
+++ b/mesh/placing.c
@@ -0,0 +1,96 @@
+#include "mesh/placing.h"
+
+/*
+ * A failing target looks this much slower for each part of calls that fail:
+ * a failed call has to be made again, which takes another place's time.
+ */
+#define FAILING_FACTOR 8.0
+/* A silent node's target is used only if there is nothing else. */
+#define DOUBTFUL_US (2 * BF_US_PER_S)
+
+uint64_t
+bf_place_random(uint64_t *random)
+{
+	uint64_t x = *random;
+
+	x ^= x >> 12;
+	x ^= x << 25;
+	x ^= x >> 27;
+	*random = x;
+	return x * UINT64_C(0x2545f4914f6cdd1d);
+}
+
+static uint32_t
+load_of(const bf_place_t *place)
+{
+	return place->running + place->waiting + place->sent;
+}
+
+bf_time_us_t
+bf_place_expected_us(const bf_place_t *place)
+{
+	double mean_us, wait_us = 0;
+	uint32_t load, slots;
+
+	slots = place->slots > 0 ? place->slots : 1;
+	load = load_of(place);
+	mean_us = place->mean_us *
+	    (1.0 + FAILING_FACTOR * place->failing_ppm / 1000000.0);
+	if (load >= slots)
+		wait_us = mean_us * (load - slots + 1) / slots;
+	return (bf_time_us_t)(mean_us + wait_us) + place->distance_us +
+	    (place->doubtful ? DOUBTFUL_US : 0);
+}
+
+static bool
+has_room(const bf_place_t *place)
+{
+	return load_of(place) < place->slots && !place->doubtful;
+}
+
+/* Two different ones of the places that pass, the better of them. */
+static size_t
+better_of_two(const bf_place_t *places, size_t count, bool near_with_room,
+    size_t passing, uint64_t *random)
+{
+	size_t first, second, seen = 0, i, best = BF_PLACE_NONE;
+	bf_time_us_t cost_us, best_us = 0;
+
+	first = bf_place_random(random) % passing;
+	second = passing;
+	if (passing > 1) {
+		second = bf_place_random(random) % (passing - 1);
+		if (second >= first)
+			second++;
+	}
+	for (i = 0; i < count; i++) {
+		if (near_with_room &&
+		    !(places[i].near && has_room(&places[i])))
+			continue;
+		if (seen == first || seen == second) {
+			cost_us = bf_place_expected_us(&places[i]);
+			if (best == BF_PLACE_NONE || cost_us < best_us) {
+				best = i;
+				best_us = cost_us;
+			}
+		}
+		seen++;
+	}
+	return best;
+}
+
+size_t
+bf_place_choose(const bf_place_t *places, size_t count, uint64_t *random)
+{
+	size_t near = 0, i;
+
+	if (count == 0)
+		return BF_PLACE_NONE;
+	for (i = 0; i < count; i++) {
+		if (places[i].near && has_room(&places[i]))
+			near++;
+	}
+	if (near > 0)
+		return better_of_two(places, count, true, near, random);
+	return better_of_two(places, count, false, count, random);
+}
--- /dev/null
+++ b/mesh/placing.h
@@ -0,0 +1,49 @@
+#ifndef BF_MESH_PLACING_H
+#define BF_MESH_PLACING_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/clock.h"
+
+/*
+ * Placing: which target a call is offered to, by what its nodes reported of
+ * their load.
+ *
+ * Answers the load pattern "many entries, targets of unequal speed, reports
+ * some tens of milliseconds old": the one that looks best to all is flooded
+ * before the next report, so each call compares two at random (Mitzenmacher,
+ * The power of two choices in randomized load balancing, 2001) by the expected
+ * time to its end.  The own availability zone goes first while it has a free
+ * slot, as that costs the caller nothing.
+ */
+
+typedef struct bf_place {
+	uint32_t slots;
+	uint32_t running;     /* as reported */
+	uint32_t waiting;     /* as reported */
+	uint32_t sent;        /* by this node since the report */
+	uint32_t mean_us;     /* of a call at the target */
+	uint32_t failing_ppm; /* of its recent calls that failed there */
+	uint32_t distance_us; /* network time there and back */
+	bool near;            /* in the own availability zone */
+	bool doubtful;        /* its node has been silent for a while */
+} bf_place_t;
+
+#define BF_PLACE_NONE SIZE_MAX
+
+/* Expected time from now to the answer of a call that is sent now. */
+bf_time_us_t bf_place_expected_us(const bf_place_t *place);
+
+/*
+ * The place for a call, or BF_PLACE_NONE when count is 0.  random is the state
+ * of the caller's generator.
+ */
+size_t bf_place_choose(
+    const bf_place_t *places, size_t count, uint64_t *random);
+
+/* A number of the generator (xorshift64*); its state must not be 0. */
+uint64_t bf_place_random(uint64_t *random);
+
+#endif
--- /dev/null
+++ b/mesh/registry.c
@@ -0,0 +1,249 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "mesh/internal.h"
+
+/*
+ * The own entry in the store, under a lease, and the list of the others.  The
+ * entry is written before the list is read: of two nodes that start together
+ * at least one then sees the other, and dials it.
+ */
+
+#define LEASE_TTL_MS 6000
+/* Renewed this often, so that two renewals may be lost. */
+#define RENEW_US (2 * BF_US_PER_S)
+/* The list is read again this often, for what was missed. */
+#define LIST_US (12 * BF_US_PER_S)
+/* What an entry says, at most. */
+#define ENTRY_BYTES 512
+
+/* What comes next; a failure repeats the step after a pause. */
+typedef enum bf_member_step {
+	BF_MEMBER_GRANT, /* a lease */
+	BF_MEMBER_WRITE, /* the own entry */
+	BF_MEMBER_LIST,
+	BF_MEMBER_RENEW
+} bf_member_step_t;
+
+static void
+own_key(const bf_mesh_t *mesh, char *key, size_t bytes)
+{
+	(void)snprintf(key, bytes, "%s%s", mesh->dialect->member_prefix,
+	    mesh->options.instance);
+}
+
+static void
+write_entry(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_peer_t *self = mesh->peers;
+	char key[2 * BF_NAME_BYTES], data[ENTRY_BYTES];
+	bf_kv_write_t write = { .key = key,
+		.data = data,
+		.lease = mesh->lease,
+		.expected_revision = mesh->member_revision };
+	json_t *entry;
+
+	own_key(mesh, key, sizeof(key));
+	entry = json_pack("{s:s,s:s,s:I}", "address", self->address_text,
+	    "zone", self->zone, "incarnation",
+	    (json_int_t)self->incarnation);
+	write.data_bytes = json_dumpb(entry, data, sizeof(data), JSON_COMPACT);
+	json_decref(entry);
+	mesh->kv->vtable->write(
+	    mesh->kv, &mesh->member_call, &write, 1, now_us);
+}
+
+static void
+next_call(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_kv_vtable_t *kv = mesh->kv->vtable;
+
+	switch ((bf_member_step_t)mesh->member_step) {
+	case BF_MEMBER_GRANT:
+		kv->lease_grant(
+		    mesh->kv, &mesh->member_call, LEASE_TTL_MS, now_us);
+		break;
+	case BF_MEMBER_WRITE:
+		write_entry(mesh, now_us);
+		break;
+	case BF_MEMBER_LIST:
+		kv->list(mesh->kv, &mesh->member_call,
+		    mesh->dialect->member_prefix, mesh->list_after,
+		    mesh->listed_us != 0, now_us);
+		break;
+	case BF_MEMBER_RENEW:
+		kv->lease_renew(
+		    mesh->kv, &mesh->member_call, mesh->lease, now_us);
+		break;
+	}
+}
+
+/* An entry of the list; one that cannot be read names nobody. */
+static void
+take_entry(bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
+{
+	const char *instance, *address, *zone;
+	json_int_t incarnation;
+	bf_peer_t *peer;
+	json_t *entry;
+
+	instance = item->key + strlen(mesh->dialect->member_prefix);
+	entry = json_loadb(item->data, item->data_bytes, 0, NULL);
+	if (json_unpack(entry, "{s:s,s:s,s:I}", "address", &address, "zone",
+		&zone, "incarnation", &incarnation) == 0 &&
+	    strlen(instance) < BF_NAME_BYTES) {
+		peer = bf_roster_add(mesh, instance, zone, address,
+		    (uint64_t)incarnation, now_us);
+		if (peer != NULL)
+			peer->listed = true;
+		if (peer != NULL && peer->self)
+			mesh->member_revision = item->revision;
+	} else {
+		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s",
+		    "key", item->key);
+	}
+	json_decref(entry);
+}
+
+static void
+take_list(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	bf_peer_t *peer;
+	size_t i;
+
+	if (mesh->list_after[0] == '\0') {
+		for (peer = mesh->peers; peer != NULL; peer = peer->next)
+			peer->listed = false;
+	}
+	for (i = 0; i < reply->item_count; i++)
+		take_entry(mesh, &reply->items[i], now_us);
+	if (reply->more && reply->item_count > 0) {
+		(void)snprintf(mesh->list_after, sizeof(mesh->list_after),
+		    "%s", reply->items[reply->item_count - 1].key);
+		next_call(mesh, now_us);
+		return;
+	}
+	mesh->list_after[0] = '\0';
+	mesh->listed_us = now_us;
+	/* The entry may be gone although its lease lives. */
+	mesh->member_step =
+	    mesh->peers->listed ? BF_MEMBER_RENEW : BF_MEMBER_WRITE;
+	if (!mesh->peers->listed)
+		mesh->member_revision = 0;
+	bf_loop_timer(mesh->loop, &mesh->member_timer,
+	    now_us + (mesh->peers->listed ? RENEW_US : 0));
+}
+
+static void
+take_written(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	mesh->member_revision = reply->revision;
+	mesh->member_step = BF_MEMBER_LIST;
+	mesh->list_after[0] = '\0';
+	bf_event(mesh->events, BF_EVENT_MEMBER, now_us, "s:s,s:I,s:I", "state",
+	    "registered", "lease", (json_int_t)mesh->lease, "revision",
+	    (json_int_t)reply->revision);
+	next_call(mesh, now_us);
+}
+
+static void
+take_success(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	switch ((bf_member_step_t)mesh->member_step) {
+	case BF_MEMBER_GRANT:
+		mesh->lease = reply->lease;
+		mesh->member_step = BF_MEMBER_WRITE;
+		next_call(mesh, now_us);
+		break;
+	case BF_MEMBER_WRITE:
+		take_written(mesh, reply, now_us);
+		break;
+	case BF_MEMBER_LIST:
+		take_list(mesh, reply, now_us);
+		break;
+	case BF_MEMBER_RENEW:
+		if (now_us - mesh->listed_us >= LIST_US) {
+			mesh->member_step = BF_MEMBER_LIST;
+			next_call(mesh, now_us);
+			break;
+		}
+		bf_loop_timer(
+		    mesh->loop, &mesh->member_timer, now_us + RENEW_US);
+		break;
+	}
+}
+
+static void
+on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(call, bf_mesh_t, member_call);
+
+	bf_mesh_store_called(mesh, "member", reply->code, now_us);
+	switch (reply->code) {
+	case BF_OK:
+		mesh->member_failures = 0;
+		take_success(mesh, reply, now_us);
+		return;
+	case BF_ERR_CONFLICT:
+		/* An entry of a former process, or an earlier write of ours. */
+		mesh->member_revision =
+		    reply->item_count > 0 ? reply->items[0].revision : 0;
+		next_call(mesh, now_us);
+		return;
+	case BF_ERR_NOT_FOUND:
+		bf_event(mesh->events, BF_EVENT_MEMBER, now_us, "s:s,s:I",
+		    "state", "lapsed", "lease", (json_int_t)mesh->lease);
+		mesh->member_step = BF_MEMBER_GRANT;
+		mesh->member_revision = 0;
+		next_call(mesh, now_us);
+		return;
+	default:
+		mesh->member_failures++;
+		bf_loop_timer(mesh->loop, &mesh->member_timer,
+		    now_us +
+			bf_follow_pause_us(
+			    mesh->member_failures, &mesh->random));
+	}
+}
+
+static void
+on_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	next_call(BF_CONTAINER(timer, bf_mesh_t, member_timer), now_us);
+}
+
+void
+bf_registry_start(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	mesh->member_call.done = on_done;
+	mesh->member_timer.fire = on_timer;
+	mesh->member_step = BF_MEMBER_GRANT;
+	next_call(mesh, now_us);
+}
+
+/* Ends the lease, so that the others need not wait for it. */
+void
+bf_registry_stop(bf_mesh_t *mesh)
+{
+	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
+	if (mesh->member_call.state != NULL)
+		mesh->kv->vtable->cancel(mesh->kv, &mesh->member_call);
+}
+
+void
+bf_mesh_store_called(
+    bf_mesh_t *mesh, const char *what, bf_code_t code, bf_time_us_t now_us)
+{
+	bool up;
+
+	bf_metric_count(mesh->metrics.store_calls,
+	    code == BF_OK ? what : bf_code_name(code), 1);
+	up = code != BF_ERR_UNAVAILABLE && code != BF_ERR_UNSETTLED &&
+	    code != BF_ERR_TIMEOUT && code != BF_ERR_LIMIT;
+	if (mesh->store_known && up == mesh->store_up)
+		return;
+	mesh->store_known = true;
+	mesh->store_up = up;
+	bf_event(mesh->events, up ? BF_EVENT_STORE_UP : BF_EVENT_STORE_DOWN,
+	    now_us, "s:s,s:s", "call", what, "result", bf_code_name(code));
+}
--- /dev/null
+++ b/mesh/roster.c
@@ -0,0 +1,762 @@
+#include <arpa/inet.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/address.h"
+#include "mesh/internal.h"
+
+/* Load is told this often, when it changed. */
+#define TICK_US (40 * BF_US_PER_MS)
+/* With many peers less often, so that telling costs under 1 % of a core. */
+#define TICK_PEER_US (2 * BF_US_PER_MS)
+/* Something is told at least this often: silence is then a sign. */
+#define TELL_US (250 * BF_US_PER_MS)
+/* A peer that was silent this long is used only for want of others. */
+#define SILENT_US (700 * BF_US_PER_MS)
+/* Its connection is given up: new ones may work where an old one does not. */
+#define LOST_US (1600 * BF_US_PER_MS)
+#define DIAL_US BF_US_PER_S
+/* A peer that neither the store lists nor answers is forgotten after this. */
+#define FORGET_US (5 * BF_US_PER_S)
+/* A newer configuration elsewhere is asked for after this much patience. */
+#define CONFIG_PATIENCE_US (100 * BF_US_PER_MS)
+
+static void dial(bf_peer_t *peer, bf_time_us_t now_us);
+
+bf_peer_t *
+bf_roster_find(bf_mesh_t *mesh, const char *instance)
+{
+	bf_peer_t *peer;
+
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (strcmp(peer->instance, instance) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+void
+bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load)
+{
+	bf_wire_write_uint(writer, load->running);
+	bf_wire_write_uint(writer, load->waiting);
+	bf_wire_write_uint(writer, load->slots);
+	bf_wire_write_uint(writer, load->mean_us);
+	bf_wire_write_uint(writer, load->failing_ppm);
+}
+
+void
+bf_wire_read_load(bf_wire_reader_t *reader, bf_load_t *load)
+{
+	load->running = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->waiting = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->slots = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->mean_us = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->failing_ppm = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+}
+
+bf_node_state_t
+bf_mesh_state(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_own_target_t *target = &mesh->target;
+	bf_node_state_t state = {
+		.target_state = target->state,
+		.stopping = mesh->stopping,
+		.store_up = mesh->store_up,
+		.config_version = mesh->routing != NULL
+		    ? bf_routing_version(mesh->routing)
+		    : 0,
+		.load = bf_target_load(mesh, now_us),
+	};
+
+	memcpy(state.target, target->beat.id, sizeof(state.target));
+	memcpy(state.service, target->beat.service, sizeof(state.service));
+	memcpy(state.version, target->beat.version, sizeof(state.version));
+	return state;
+}
+
+static void
+write_state(bf_wire_writer_t *writer, const bf_node_state_t *state)
+{
+	bf_wire_write_text(writer, state->target);
+	bf_wire_write_text(writer, state->service);
+	bf_wire_write_text(writer, state->version);
+	bf_wire_write_uint(writer, state->target_state);
+	bf_wire_write_uint(writer, state->stopping);
+	bf_wire_write_uint(writer, state->store_up);
+	bf_wire_write_uint(writer, state->config_version);
+	bf_wire_write_load(writer, &state->load);
+}
+
+static void
+read_state(bf_wire_reader_t *reader, bf_node_state_t *state)
+{
+	bf_wire_read_text(reader, state->target, sizeof(state->target));
+	bf_wire_read_text(reader, state->service, sizeof(state->service));
+	bf_wire_read_text(reader, state->version, sizeof(state->version));
+	state->target_state = (bf_target_state_t)bf_wire_read_uint(
+	    reader, BF_TARGET_DRAINING);
+	state->stopping = bf_wire_read_uint(reader, 1) != 0;
+	state->store_up = bf_wire_read_uint(reader, 1) != 0;
+	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
+	bf_wire_read_load(reader, &state->load);
+}
+
+static void
+tell_state(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_node_state_t *state,
+    bf_time_us_t now_us)
+{
+	write_state(&mesh->writer, state);
+	bf_mesh_link_send(
+	    link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
+}
+
+static bool
+same_identity(const bf_node_state_t *a, const bf_node_state_t *b)
+{
+	return strcmp(a->target, b->target) == 0 &&
+	    strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->version, b->version) == 0 &&
+	    a->target_state == b->target_state && a->stopping == b->stopping &&
+	    a->store_up == b->store_up &&
+	    a->config_version == b->config_version;
+}
+
+static bool
+same_load(const bf_load_t *a, const bf_load_t *b)
+{
+	return a->running == b->running && a->waiting == b->waiting &&
+	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
+}
+
+/* Tells what changed, and something in any case each TELL_US. */
+static void
+tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_node_state_t state = bf_mesh_state(mesh, now_us);
+	bf_inbound_t *inbound;
+	bool identity;
+
+	identity = !same_identity(&state, &mesh->told);
+	if (!identity && now_us - mesh->told_us < TELL_US &&
+	    same_load(&state.load, &mesh->told.load))
+		return;
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		if (inbound->peer == NULL)
+			continue;
+		if (identity) {
+			tell_state(mesh, &inbound->link, &state, now_us);
+			continue;
+		}
+		bf_wire_write_load(&mesh->writer, &state.load);
+		bf_mesh_link_send(&inbound->link, BF_FRAME_LOAD, 0,
+		    &mesh->writer, NULL, now_us);
+	}
+	mesh->told = state;
+	mesh->told_us = now_us;
+}
+
+void
+bf_roster_tell(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	tell_changes(mesh, now_us);
+}
+
+static void
+take_load(bf_peer_t *peer, const bf_load_t *load)
+{
+	peer->state.load = *load;
+	peer->sent = 0;
+}
+
+/* Asks for a newer configuration, should the store not bring it. */
+static void
+ask_config(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+	uint64_t version;
+
+	version = mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0;
+	if (peer->state.config_version <= version) {
+		peer->asked_config_us = 0;
+		return;
+	}
+	if (peer->asked_config_us == 0)
+		peer->asked_config_us = now_us;
+	if (now_us - peer->asked_config_us < CONFIG_PATIENCE_US)
+		return;
+	peer->asked_config_us = now_us + BF_US_PER_S;
+	bf_mesh_link_send(
+	    peer->link, BF_FRAME_CONFIG_GET, 0, NULL, NULL, now_us);
+}
+
+static void
+take_state(
+    bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
+{
+	bool changed = !peer->heard || !same_identity(&peer->state, state);
+
+	peer->state = *state;
+	peer->sent = 0;
+	if (changed)
+		bf_event(peer->mesh->events, BF_EVENT_PEER_UP, now_us,
+		    "s:s,s:s,s:s,s:s,s:i,s:b,s:I", "peer", peer->instance,
+		    "target", state->target, "service", state->service,
+		    "version", state->version, "target_state",
+		    (int)state->target_state, "stopping",
+		    (int)state->stopping, "config_version",
+		    (json_int_t)state->config_version);
+	peer->heard = true;
+	ask_config(peer, now_us);
+}
+
+static void
+take_answer(bf_peer_t *peer, const bf_frame_t *frame,
+    bf_wire_reader_t *reader, bf_time_us_t now_us)
+{
+	bf_reply_t reply = { 0 };
+	char fields[16384];
+	bf_load_t load;
+
+	reply.end = (bf_call_end_t)bf_wire_read_uint(reader, BF_END_UNKNOWN);
+	reply.cause =
+	    (bf_cause_t)bf_wire_read_uint(reader, BF_CAUSE_COUNT - 1);
+	reply.status = (uint32_t)bf_wire_read_uint(reader, 999);
+	reply.waited_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	reply.spent_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	reply.expected_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	bf_wire_read_load(reader, &load);
+	bf_wire_read_text(reader, fields, sizeof(fields));
+	if (reader->code != BF_OK) {
+		reply = (bf_reply_t){ .end = BF_END_UNKNOWN,
+			.cause = BF_CAUSE_BAD_ANSWER };
+	} else {
+		take_load(peer, &load);
+	}
+	reply.fields = fields;
+	reply.body = frame->body;
+	reply.body_bytes = frame->body_bytes;
+	bf_entry_reply(peer->mesh, frame->call, &reply, now_us);
+}
+
+void
+bf_wire_write_reply(
+    bf_wire_writer_t *writer, const bf_reply_t *reply, const bf_load_t *load)
+{
+	bf_wire_write_uint(writer, reply->end);
+	bf_wire_write_uint(writer, reply->cause);
+	bf_wire_write_uint(writer, reply->status);
+	bf_wire_write_uint(writer, (uint64_t)reply->waited_us);
+	bf_wire_write_uint(writer, (uint64_t)reply->spent_us);
+	bf_wire_write_uint(writer, (uint64_t)reply->expected_us);
+	bf_wire_write_load(writer, load);
+	bf_wire_write_text(
+	    writer, reply->fields != NULL ? reply->fields : "");
+}
+
+/* A frame on a connection that this node dialled. */
+static void
+on_peer_frame(
+    bf_mesh_link_t *link, const bf_frame_t *frame, bf_time_us_t now_us)
+{
+	bf_peer_t *peer = link->owner;
+	bf_wire_reader_t reader;
+	bf_node_state_t state = { 0 };
+	bf_load_t load;
+
+	peer->silent = false;
+	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
+	switch (frame->kind) {
+	case BF_FRAME_STATE:
+		read_state(&reader, &state);
+		if (reader.code == BF_OK)
+			take_state(peer, &state, now_us);
+		break;
+	case BF_FRAME_LOAD:
+		bf_wire_read_load(&reader, &load);
+		if (reader.code == BF_OK)
+			take_load(peer, &load);
+		ask_config(peer, now_us);
+		break;
+	case BF_FRAME_ANSWER:
+		take_answer(peer, frame, &reader, now_us);
+		break;
+	case BF_FRAME_CONFIG:
+		bf_source_take(peer->mesh, frame->body, frame->body_bytes,
+		    peer->instance, now_us);
+		break;
+	case BF_FRAME_RUNS:
+		bf_movement_read_runs(peer, &reader);
+		break;
+	case BF_FRAME_MOVE:
+		bf_movement_heard(peer->mesh, peer, &reader, now_us);
+		break;
+	default:
+		break; /* of a later version of the protocol */
+	}
+}
+
+static void
+drop_link(bf_peer_t *peer)
+{
+	bf_mesh_link_close(peer->link);
+	bf_loop_release(peer->mesh->loop, peer->link);
+	peer->link = NULL;
+	peer->open = false;
+	peer->heard = false;
+}
+
+static void
+redial_later(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	peer->failures++;
+	bf_loop_timer(peer->mesh->loop, &peer->redial,
+	    now_us + bf_follow_pause_us(peer->failures, &peer->mesh->random));
+}
+
+static void
+lose_link(bf_peer_t *peer, const char *why, bf_time_us_t now_us)
+{
+	bool was_open = peer->open;
+
+	drop_link(peer);
+	if (was_open) {
+		bf_event(peer->mesh->events, BF_EVENT_PEER_DOWN, now_us,
+		    "s:s,s:s", "peer", peer->instance, "reason", why);
+		bf_entry_peer_lost(peer, true, now_us);
+	}
+	redial_later(peer, now_us);
+}
+
+static void
+on_peer_ended(bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	lose_link(link->owner, "the connection ended", now_us);
+}
+
+static void
+on_peer_opened(bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	bf_peer_t *peer = link->owner;
+	bf_mesh_t *mesh = peer->mesh;
+	const bf_peer_t *self = mesh->peers;
+
+	peer->open = true;
+	peer->silent = false;
+	peer->failures = 0;
+	bf_wire_write_text(&mesh->writer, self->instance);
+	bf_wire_write_text(&mesh->writer, self->zone);
+	bf_wire_write_text(&mesh->writer, self->address_text);
+	bf_wire_write_uint(&mesh->writer, self->incarnation);
+	bf_mesh_link_send(
+	    link, BF_FRAME_HELLO, 0, &mesh->writer, NULL, now_us);
+}
+
+static const bf_mesh_link_vtable_t peer_vtable = {
+	.opened = on_peer_opened,
+	.frame = on_peer_frame,
+	.ended = on_peer_ended,
+};
+
+static void
+dial(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+
+	if (peer->self || peer->link != NULL)
+		return;
+	peer->link = calloc(1, sizeof(*peer->link));
+	if (peer->link == NULL) {
+		redial_later(peer, now_us);
+		return;
+	}
+	peer->link->owner = peer;
+	if (bf_mesh_link_dial(peer->link, &peer_vtable, mesh->loop,
+		&peer->address, now_us, NULL) != BF_OK) {
+		free(peer->link);
+		peer->link = NULL;
+		redial_later(peer, now_us);
+	}
+}
+
+static void
+on_redial(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	dial(BF_CONTAINER(timer, bf_peer_t, redial), now_us);
+}
+
+static bf_peer_t *
+new_peer(bf_mesh_t *mesh, const char *instance)
+{
+	bf_peer_t *peer, **last;
+
+	peer = calloc(1, sizeof(*peer));
+	if (peer == NULL)
+		return NULL;
+	(void)snprintf(
+	    peer->instance, sizeof(peer->instance), "%s", instance);
+	peer->mesh = mesh;
+	peer->redial.fire = on_redial;
+	for (last = &mesh->peers; *last != NULL; last = &(*last)->next)
+		;
+	*last = peer;
+	mesh->peer_count++;
+	return peer;
+}
+
+bf_peer_t *
+bf_roster_add(bf_mesh_t *mesh, const char *instance, const char *zone,
+    const char *address, uint64_t incarnation, bf_time_us_t now_us)
+{
+	struct sockaddr_in parsed;
+	bf_peer_t *peer;
+
+	peer = bf_roster_find(mesh, instance);
+	if (peer != NULL && (peer->self || incarnation < peer->incarnation))
+		return peer;
+	if (bf_address_parse(address, &parsed, NULL) != BF_OK)
+		return peer;
+	if (peer == NULL)
+		peer = new_peer(mesh, instance);
+	if (peer == NULL)
+		return NULL;
+	if (peer->incarnation == incarnation &&
+	    strcmp(peer->address_text, address) == 0) {
+		if (peer->link == NULL)
+			dial(peer, now_us);
+		return peer;
+	}
+	(void)snprintf(peer->zone, sizeof(peer->zone), "%s", zone);
+	(void)snprintf(
+	    peer->address_text, sizeof(peer->address_text), "%s", address);
+	peer->address = parsed;
+	peer->near = strcmp(zone, mesh->peers->zone) == 0;
+	/* A new process: what its former one had in hand is lost. */
+	if (peer->link != NULL)
+		lose_link(peer, "the node has started anew", now_us);
+	peer->incarnation = incarnation;
+	peer->missing_us = 0;
+	peer->failures = 0;
+	bf_loop_timer_cancel(mesh->loop, &peer->redial);
+	dial(peer, now_us);
+	return peer;
+}
+
+static void
+forget(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+	bf_inbound_t *inbound;
+	bf_peer_t **at;
+
+	bf_event(mesh->events, BF_EVENT_PEER_GONE, now_us, "s:s", "peer",
+	    peer->instance);
+	if (peer->link != NULL)
+		drop_link(peer);
+	bf_entry_peer_lost(peer, true, now_us);
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		if (inbound->peer == peer)
+			inbound->peer = NULL;
+	}
+	bf_loop_timer_cancel(mesh->loop, &peer->redial);
+	for (at = &mesh->peers; *at != peer; at = &(*at)->next)
+		;
+	*at = peer->next;
+	mesh->peer_count--;
+	bf_loop_release(mesh->loop, peer);
+}
+
+static void
+drop_inbound(bf_inbound_t *inbound, bf_time_us_t now_us)
+{
+	if (inbound->peer != NULL && inbound->peer->inbound == inbound)
+		inbound->peer->inbound = NULL;
+	bf_target_lost(inbound, now_us);
+	*inbound->previous = inbound->next;
+	if (inbound->next != NULL)
+		inbound->next->previous = inbound->previous;
+	bf_mesh_link_close(&inbound->link);
+	bf_loop_release(inbound->mesh->loop, inbound);
+}
+
+static void
+take_hello(
+    bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us)
+{
+	char instance[BF_NAME_BYTES], zone[BF_NAME_BYTES];
+	char address[BF_ADDRESS_BYTES];
+	bf_mesh_t *mesh = inbound->mesh;
+	bf_node_state_t state;
+	uint64_t incarnation;
+	bf_peer_t *peer;
+
+	bf_wire_read_text(reader, instance, sizeof(instance));
+	bf_wire_read_text(reader, zone, sizeof(zone));
+	bf_wire_read_text(reader, address, sizeof(address));
+	incarnation = bf_wire_read_uint(reader, UINT64_MAX);
+	if (reader->code != BF_OK)
+		return;
+	peer = bf_roster_add(mesh, instance, zone, address, incarnation,
+	    now_us);
+	if (peer == NULL || peer->self)
+		return;
+	inbound->peer = peer;
+	peer->inbound = inbound;
+	peer->missing_us = 0;
+	state = bf_mesh_state(mesh, now_us);
+	tell_state(mesh, &inbound->link, &state, now_us);
+	bf_movement_tell(mesh, &inbound->link, now_us);
+}
+
+static void
+take_call(bf_inbound_t *inbound, const bf_frame_t *frame,
+    bf_wire_reader_t *reader, bf_time_us_t now_us)
+{
+	char request_id[BF_REQUEST_ID_BYTES], target[BF_NAME_BYTES];
+	char route[BF_NAME_BYTES];
+	bf_bytes_t head = { 0 };
+	bf_offer_t offer = { .id = frame->call };
+	uint64_t flags;
+	size_t bytes;
+
+	bf_wire_read_text(reader, request_id, sizeof(request_id));
+	bf_wire_read_text(reader, target, sizeof(target));
+	bf_wire_read_text(reader, route, sizeof(route));
+	flags = bf_wire_read_uint(reader, UINT32_MAX);
+	offer.priority = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	offer.left_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	offer.objective_left_us =
+	    (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	head.data = (uint8_t *)(uintptr_t)bf_wire_read_bytes(
+	    reader, BF_MESSAGE_BYTES_MAX, &bytes);
+	head.end = bytes;
+	if (reader->code != BF_OK)
+		return;
+	offer.request_id = request_id;
+	offer.target = target;
+	offer.route = route;
+	offer.inner = (flags & 1) != 0;
+	offer.repeatable = (flags & 2) != 0;
+	offer.on_time = (flags & 4) != 0;
+	offer.head_request = (flags & 8) != 0;
+	offer.has_body = (flags & 16) != 0;
+	/* What a cut held back has less time left than its sender wrote. */
+	offer.left_us -= frame->delay_us;
+	offer.objective_left_us -= frame->delay_us;
+	offer.head = &head;
+	offer.body = frame->body;
+	offer.body_bytes = frame->body_bytes;
+	bf_target_offer(inbound->mesh, inbound, &offer, now_us);
+}
+
+void
+bf_entry_write_offer(bf_wire_writer_t *writer, const bf_offer_t *offer)
+{
+	bf_wire_write_text(writer, offer->request_id);
+	bf_wire_write_text(writer, offer->target);
+	bf_wire_write_text(writer, offer->route);
+	bf_wire_write_uint(writer,
+	    (uint64_t)offer->inner | (uint64_t)offer->repeatable << 1 |
+		(uint64_t)offer->on_time << 2 |
+		(uint64_t)offer->head_request << 3 |
+		(uint64_t)offer->has_body << 4);
+	bf_wire_write_uint(writer, offer->priority);
+	bf_wire_write_uint(writer,
+	    (uint64_t)(offer->left_us > 0 ? offer->left_us : 0));
+	bf_wire_write_uint(writer,
+	    (uint64_t)(offer->objective_left_us > 0 ? offer->objective_left_us
+						    : 0));
+	bf_wire_write_bytes(
+	    writer, bf_bytes_at(offer->head), bf_bytes_count(offer->head));
+}
+
+/* A frame on a connection that a peer dialled. */
+static void
+on_inbound_frame(
+    bf_mesh_link_t *link, const bf_frame_t *frame, bf_time_us_t now_us)
+{
+	bf_inbound_t *inbound = (bf_inbound_t *)(void *)link;
+	bf_mesh_t *mesh = inbound->mesh;
+	bf_wire_reader_t reader;
+
+	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
+	switch (frame->kind) {
+	case BF_FRAME_HELLO:
+		take_hello(inbound, &reader, now_us);
+		break;
+	case BF_FRAME_CALL:
+		take_call(inbound, frame, &reader, now_us);
+		break;
+	case BF_FRAME_CANCEL:
+		bf_target_cancel(mesh, inbound, frame->call, now_us);
+		break;
+	case BF_FRAME_CONFIG_GET:
+		if (mesh->routing != NULL)
+			bf_mesh_link_send(link, BF_FRAME_CONFIG, 0, NULL,
+			    &mesh->config, now_us);
+		break;
+	case BF_FRAME_MOVE:
+		if (inbound->peer != NULL)
+			bf_movement_heard(
+			    mesh, inbound->peer, &reader, now_us);
+		break;
+	default:
+		break; /* of a later version of the protocol */
+	}
+}
+
+static void
+on_inbound_ended(bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	drop_inbound((bf_inbound_t *)(void *)link, now_us);
+}
+
+static const bf_mesh_link_vtable_t inbound_vtable = {
+	.frame = on_inbound_frame,
+	.ended = on_inbound_ended,
+};
+
+static void
+on_accepted(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
+    bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(listener, bf_mesh_t, listener);
+	bf_inbound_t *inbound;
+
+	(void)from;
+	inbound = calloc(1, sizeof(*inbound));
+	if (inbound == NULL) {
+		close(fd);
+		return;
+	}
+	if (bf_mesh_link_adopt(&inbound->link, &inbound_vtable, mesh->loop, fd,
+		now_us, NULL) != BF_OK) {
+		free(inbound);
+		return;
+	}
+	inbound->mesh = mesh;
+	inbound->next = mesh->inbound;
+	if (inbound->next != NULL)
+		inbound->next->previous = &inbound->next;
+	inbound->previous = &mesh->inbound;
+	mesh->inbound = inbound;
+}
+
+static void
+check_silence(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_time_us_t silent_us;
+
+	if (peer->link == NULL)
+		return;
+	silent_us = now_us - peer->link->heard_us;
+	if (!peer->open) {
+		if (silent_us > DIAL_US)
+			lose_link(peer, "no connection in time", now_us);
+		return;
+	}
+	if (silent_us > LOST_US) {
+		lose_link(peer, "silent", now_us);
+	} else if (silent_us > SILENT_US && !peer->silent) {
+		peer->silent = true;
+		bf_entry_peer_lost(peer, false, now_us);
+	}
+}
+
+static void
+check_missing(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	if (peer->self || peer->open || peer->listed) {
+		peer->missing_us = 0;
+		return;
+	}
+	if (peer->missing_us == 0)
+		peer->missing_us = now_us;
+	if (now_us - peer->missing_us > FORGET_US)
+		forget(peer, now_us);
+}
+
+static void
+on_tick(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, tick);
+	bf_time_us_t pause_us;
+	bf_peer_t *peer, *next;
+
+	for (peer = mesh->peers; peer != NULL; peer = next) {
+		next = peer->next;
+		check_silence(peer, now_us);
+		check_missing(peer, now_us);
+	}
+	bf_target_tick(mesh, now_us);
+	bf_movement_tick(mesh, now_us);
+	tell_changes(mesh, now_us);
+	pause_us = mesh->peer_count * TICK_PEER_US;
+	bf_loop_timer(mesh->loop, timer,
+	    now_us + (pause_us > TICK_US ? pause_us : TICK_US));
+}
+
+static bf_code_t
+add_self(bf_mesh_t *mesh, bf_error_t *err)
+{
+	char ip[INET_ADDRSTRLEN];
+	bf_peer_t *self;
+
+	self = new_peer(mesh, mesh->options.instance);
+	if (self == NULL)
+		return bf_error_set(err, BF_ERR_MEMORY, "no memory");
+	self->self = true;
+	self->near = true;
+	self->heard = true;
+	self->open = true;
+	self->incarnation = mesh->incarnation;
+	self->address = mesh->options.peers;
+	(void)snprintf(
+	    self->zone, sizeof(self->zone), "%s", mesh->options.zone);
+	(void)inet_ntop(
+	    AF_INET, &self->address.sin_addr, ip, sizeof(ip));
+	(void)snprintf(self->address_text, sizeof(self->address_text),
+	    "%s:%u", ip, (unsigned int)bf_listener_port(&mesh->listener));
+	return BF_OK;
+}
+
+bf_code_t
+bf_roster_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err)
+{
+	bf_code_t code;
+
+	mesh->listener.accepted = on_accepted;
+	code = bf_listener_open(
+	    &mesh->listener, mesh->loop, &mesh->options.peers, err);
+	if (code != BF_OK)
+		return code;
+	code = add_self(mesh, err);
+	if (code != BF_OK)
+		return code;
+	mesh->tick.fire = on_tick;
+	bf_loop_timer(mesh->loop, &mesh->tick, now_us + TICK_US);
+	return BF_OK;
+}
+
+void
+bf_roster_close(bf_mesh_t *mesh)
+{
+	bf_peer_t *peer;
+
+	bf_loop_timer_cancel(mesh->loop, &mesh->tick);
+	bf_listener_close(&mesh->listener);
+	while (mesh->inbound != NULL)
+		drop_inbound(mesh->inbound, bf_clock_monotonic_us());
+	while ((peer = mesh->peers) != NULL) {
+		mesh->peers = peer->next;
+		bf_loop_timer_cancel(mesh->loop, &peer->redial);
+		if (peer->link != NULL)
+			drop_link(peer);
+		bf_loop_release(mesh->loop, peer);
+	}
+}
--- /dev/null
+++ b/mesh/routing.c
@@ -0,0 +1,250 @@
+#include <ctype.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_hash.h>
+#include <apr_strings.h>
+#include <apr_tables.h>
+
+#include "mesh/routing.h"
+
+/* Longest host and prefix together that a call is matched with. */
+#define KEY_BYTES 1024
+#define TIMEOUT_MS_MAX 3600000U
+#define ATTEMPTS_MAX 16U
+#define ROUTES_START 512
+#define SERVICES_START 16
+
+struct bf_routing {
+	apr_pool_t *pool;
+	uint32_t references;
+	uint64_t version;
+	bf_caller_limits_t limits;
+	apr_array_header_t *routes;   /* bf_mesh_route_t */
+	apr_array_header_t *services; /* bf_mesh_service_t */
+	apr_hash_t *by_key;           /* "host/prefix/" to its route */
+};
+
+bf_routing_t *
+bf_routing_new(uint64_t version)
+{
+	bf_routing_t *routing;
+	apr_pool_t *pool;
+
+	if (apr_pool_create(&pool, NULL) != APR_SUCCESS)
+		return NULL;
+	routing = apr_pcalloc(pool, sizeof(*routing));
+	routing->pool = pool;
+	routing->references = 1;
+	routing->version = version;
+	routing->routes =
+	    apr_array_make(pool, ROUTES_START, sizeof(bf_mesh_route_t));
+	routing->services =
+	    apr_array_make(pool, SERVICES_START, sizeof(bf_mesh_service_t));
+	routing->by_key = apr_hash_make(pool);
+	return routing;
+}
+
+void
+bf_routing_hold(bf_routing_t *routing)
+{
+	routing->references++;
+}
+
+void
+bf_routing_release(bf_routing_t *routing)
+{
+	if (routing != NULL && --routing->references == 0)
+		apr_pool_destroy(routing->pool);
+}
+
+apr_pool_t *
+bf_routing_pool(bf_routing_t *routing)
+{
+	return routing->pool;
+}
+
+void
+bf_routing_add_service(
+    bf_routing_t *routing, const bf_mesh_service_t *service)
+{
+	APR_ARRAY_PUSH(routing->services, bf_mesh_service_t) = *service;
+}
+
+void
+bf_routing_add_route(bf_routing_t *routing, const bf_mesh_route_t *route)
+{
+	APR_ARRAY_PUSH(routing->routes, bf_mesh_route_t) = *route;
+}
+
+void
+bf_routing_set_limits(
+    bf_routing_t *routing, const bf_caller_limits_t *limits)
+{
+	routing->limits = *limits;
+}
+
+const bf_mesh_service_t *
+bf_routing_service(const bf_routing_t *routing, const char *name)
+{
+	const bf_mesh_service_t *service;
+	int i;
+
+	for (i = 0; i < routing->services->nelts; i++) {
+		service =
+		    &APR_ARRAY_IDX(routing->services, i, bf_mesh_service_t);
+		if (strcmp(service->name, name) == 0)
+			return service;
+	}
+	return NULL;
+}
+
+static bf_code_t
+check_parts(const bf_routing_t *routing, const bf_mesh_route_t *route,
+    bf_error_t *err)
+{
+	uint64_t weights = 0;
+	uint32_t i;
+
+	for (i = 0; i < route->part_count; i++) {
+		if (bf_routing_service(routing, route->parts[i].service) ==
+		    NULL)
+			return bf_error_set(err, BF_ERR_REFERENCE,
+			    "route \"%s\" names service \"%s\", which is not "
+			    "defined",
+			    route->name, route->parts[i].service);
+		weights += route->parts[i].weight;
+	}
+	if (weights == 0)
+		return bf_error_set(err, BF_ERR_RANGE,
+		    "route \"%s\" has no service with a weight", route->name);
+	return BF_OK;
+}
+
+static bf_code_t
+check_route(const bf_routing_t *routing, const bf_mesh_route_t *route,
+    bf_error_t *err)
+{
+	size_t bytes = strlen(route->prefix);
+
+	if (bytes == 0 || route->prefix[0] != '/' ||
+	    route->prefix[bytes - 1] != '/')
+		return bf_error_set(err, BF_ERR_RANGE,
+		    "prefix \"%s\" of route \"%s\" does not begin and end "
+		    "with a slash",
+		    route->prefix, route->name);
+	if (route->timeout_ms == 0 || route->timeout_ms > TIMEOUT_MS_MAX)
+		return bf_error_set(err, BF_ERR_RANGE,
+		    "timeout of route \"%s\" is %u ms, not 1 to %u",
+		    route->name, route->timeout_ms, TIMEOUT_MS_MAX);
+	if (route->attempts == 0 || route->attempts > ATTEMPTS_MAX)
+		return bf_error_set(err, BF_ERR_RANGE,
+		    "route \"%s\" allows %u attempts, not 1 to %u",
+		    route->name, route->attempts, ATTEMPTS_MAX);
+	return check_parts(routing, route, err);
+}
+
+static const char *
+key_of(apr_pool_t *pool, const bf_mesh_route_t *route)
+{
+	return apr_pstrcat(pool, route->host, route->prefix, NULL);
+}
+
+bf_code_t
+bf_routing_finish(bf_routing_t *routing, bf_error_t *err)
+{
+	bf_mesh_route_t *route;
+	const char *key;
+	bf_code_t code;
+	int i;
+
+	for (i = 0; i < routing->routes->nelts; i++) {
+		route = &APR_ARRAY_IDX(routing->routes, i, bf_mesh_route_t);
+		code = check_route(routing, route, err);
+		if (code != BF_OK)
+			return code;
+		key = key_of(routing->pool, route);
+		if (apr_hash_get(
+			routing->by_key, key, APR_HASH_KEY_STRING) != NULL)
+			return bf_error_set(err, BF_ERR_CONFLICT,
+			    "two routes have host and prefix \"%s\"", key);
+		apr_hash_set(
+		    routing->by_key, key, APR_HASH_KEY_STRING, route);
+	}
+	return BF_OK;
+}
+
+uint64_t
+bf_routing_version(const bf_routing_t *routing)
+{
+	return routing->version;
+}
+
+const bf_caller_limits_t *
+bf_routing_limits(const bf_routing_t *routing)
+{
+	return &routing->limits;
+}
+
+size_t
+bf_routing_route_count(const bf_routing_t *routing)
+{
+	return (size_t)routing->routes->nelts;
+}
+
+/* Writes the host in lower case without its port; returns its length. */
+static size_t
+put_host(char *key, const char *host)
+{
+	size_t bytes = strcspn(host, ":"), i;
+
+	if (bytes >= KEY_BYTES)
+		return 0;
+	for (i = 0; i < bytes; i++)
+		key[i] = (char)tolower((unsigned char)host[i]);
+	return bytes;
+}
+
+bf_mesh_route_t *
+bf_routing_match(
+    const bf_routing_t *routing, const char *host, const char *target)
+{
+	char key[KEY_BYTES];
+	size_t host_bytes, path_bytes;
+	bf_mesh_route_t *route;
+
+	host_bytes = put_host(key, host);
+	path_bytes = strcspn(target, "?");
+	if (path_bytes > KEY_BYTES - host_bytes)
+		path_bytes = KEY_BYTES - host_bytes;
+	memcpy(key + host_bytes, target, path_bytes);
+	for (; path_bytes > 0; path_bytes--) {
+		if (target[path_bytes - 1] != '/')
+			continue;
+		route = apr_hash_get(routing->by_key, key,
+		    (apr_ssize_t)(host_bytes + path_bytes));
+		if (route != NULL)
+			return route;
+	}
+	return NULL;
+}
+
+const char *
+bf_route_service(bf_mesh_route_t *route)
+{
+	bf_route_part_t *best = NULL;
+	int64_t total = 0;
+	uint32_t i;
+
+	for (i = 0; i < route->part_count; i++) {
+		route->parts[i].credit += route->parts[i].weight;
+		total += route->parts[i].weight;
+		if (route->parts[i].weight > 0 &&
+		    (best == NULL || route->parts[i].credit > best->credit))
+			best = &route->parts[i];
+	}
+	if (best == NULL)
+		return NULL;
+	best->credit -= total;
+	return best->service;
+}
--- /dev/null
+++ b/mesh/waiting.h
@@ -0,0 +1,86 @@
+#ifndef BF_MESH_WAITING_H
+#define BF_MESH_WAITING_H
+
+#include <stdbool.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#include "base/clock.h"
+
+/*
+ * Waiting at the node beside a target: which call gets the next slot, which
+ * is refused on arrival, and which is given up because it can no longer be
+ * done in time.
+ *
+ * Answers the load pattern "more arrives than the slots can do, for seconds":
+ * with one queue in order of arrival every call waits until it is late.  Here
+ * a call that is expected to miss its objective is refused on arrival, so that
+ * its entry tries elsewhere at once; the order is calls made by targets (their
+ * parents hold slots), then by priority, then by objective; calls that missed
+ * their objective fill what is left.
+ */
+
+typedef struct bf_waiter bf_waiter_t;
+struct bf_waiter {
+	TAILQ_ENTRY(bf_waiter) link;
+	bool inner;        /* made by a target that waits for it */
+	uint32_t priority; /* 0 is the most urgent */
+	bf_time_us_t objective_us; /* on time until then */
+	bf_time_us_t deadline_us;  /* useless afterwards */
+	bf_time_us_t work_us;      /* expected time at the target */
+};
+
+TAILQ_HEAD(bf_waiter_list, bf_waiter);
+
+typedef struct bf_waiting {
+	uint32_t slots;
+	uint32_t running;
+	uint32_t count;  /* waiting */
+	double mean_us;  /* moving average of a call at the target */
+	bool measured;   /* mean_us is of calls, not a guess */
+	struct bf_waiter_list list;
+} bf_waiting_t;
+
+typedef enum bf_ask {
+	BF_ASK_GO,    /* a slot was taken */
+	BF_ASK_WAIT,  /* it is in the queue */
+	BF_ASK_REFUSE /* it would not be done in time */
+} bf_ask_t;
+
+/* What a call at a target takes before any was seen. */
+#define BF_WAITING_GUESS_US (50 * BF_US_PER_MS)
+
+void bf_waiting_init(bf_waiting_t *waiting, uint32_t slots);
+
+/*
+ * A call arrives.  on_time: it is refused if it is expected to miss its
+ * objective, as its entry has other targets to ask; else only if it is
+ * expected to miss its deadline.
+ */
+bf_ask_t bf_waiting_ask(bf_waiting_t *waiting, bf_waiter_t *waiter,
+    bool on_time, bf_time_us_t now_us);
+
+/*
+ * The call that gets a free slot now, which it takes; NULL when no slot is
+ * free or nobody waits.
+ */
+bf_waiter_t *bf_waiting_next(bf_waiting_t *waiting, bf_time_us_t now_us);
+
+/* Takes out a call that can no longer be done in time, or NULL. */
+bf_waiter_t *bf_waiting_expired(bf_waiting_t *waiting, bf_time_us_t now_us);
+
+/* The caller of a waiting call left. */
+void bf_waiting_leave(bf_waiting_t *waiting, bf_waiter_t *waiter);
+
+/*
+ * A call with a slot is over.  spent_us: its time at the target, or less than
+ * 0 when that tells nothing.
+ */
+void bf_waiting_done(bf_waiting_t *waiting, bf_time_us_t spent_us);
+
+/* Expected time until a call of this kind that arrives now gets a slot. */
+bf_time_us_t bf_waiting_expected_us(
+    const bf_waiting_t *waiting, const bf_waiter_t *waiter,
+    bf_time_us_t now_us);
+
+#endif
--- /dev/null
+++ b/net/tcp.c
@@ -0,0 +1,283 @@
+#include <errno.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "net/tcp.h"
+
+/* One read of a connection; larger input takes several rounds. */
+#define READ_BYTES 65536
+#define LISTEN_BACKLOG 1024
+/* Most connections accepted in one round. */
+#define ACCEPT_MAX 64
+/* A connection whose bytes stay unconfirmed this long is given up. */
+#define UNCONFIRMED_MS 3000U
+
+#define READ_EVENTS ((uint32_t)(EPOLLIN | EPOLLRDHUP))
+
+static void
+report_end(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
+{
+	bf_tcp_close(tcp);
+	tcp->vtable->ended(tcp, orderly, now_us);
+}
+
+static bool
+flush(bf_tcp_t *tcp)
+{
+	ssize_t n;
+
+	while (bf_bytes_count(&tcp->out) > 0) {
+		n = send(tcp->source.fd, bf_bytes_at(&tcp->out),
+		    bf_bytes_count(&tcp->out), MSG_NOSIGNAL);
+		if (n < 0 && errno == EINTR)
+			continue;
+		if (n < 0 && errno == EAGAIN) {
+			if (!tcp->blocked)
+				bf_loop_change(tcp->loop, &tcp->source,
+				    READ_EVENTS | EPOLLOUT);
+			tcp->blocked = true;
+			return true;
+		}
+		if (n < 0)
+			return false;
+		tcp->sent_bytes += (uint64_t)n;
+		bf_bytes_take(&tcp->out, (size_t)n);
+	}
+	if (tcp->blocked)
+		bf_loop_change(tcp->loop, &tcp->source, READ_EVENTS);
+	tcp->blocked = false;
+	return true;
+}
+
+static void
+flush_or_end(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	if (!flush(tcp)) {
+		/* A reset is told by the next read, with what came before. */
+		bf_bytes_clear(&tcp->out);
+		if (tcp->close_flushed)
+			report_end(tcp, false, now_us);
+		return;
+	}
+	if (tcp->close_flushed && bf_bytes_count(&tcp->out) == 0)
+		report_end(tcp, true, now_us);
+}
+
+static void
+run_flush(bf_task_t *task, bf_time_us_t now_us)
+{
+	bf_tcp_t *tcp = BF_CONTAINER(task, bf_tcp_t, flush);
+
+	if (bf_tcp_is_open(tcp) && !tcp->connecting && !tcp->blocked)
+		flush_or_end(tcp, now_us);
+}
+
+static bool
+finish_connect(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	socklen_t bytes = sizeof(int);
+	int failure = 0;
+
+	if (getsockopt(
+		tcp->source.fd, SOL_SOCKET, SO_ERROR, &failure, &bytes) != 0 ||
+	    failure != 0) {
+		report_end(tcp, false, now_us);
+		return false;
+	}
+	tcp->connecting = false;
+	bf_loop_change(tcp->loop, &tcp->source, READ_EVENTS);
+	if (tcp->vtable->opened != NULL)
+		tcp->vtable->opened(tcp, now_us);
+	return bf_tcp_is_open(tcp);
+}
+
+static void
+read_some(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	static uint8_t buffer[READ_BYTES];
+	ssize_t n;
+
+	do
+		n = recv(tcp->source.fd, buffer, sizeof(buffer), 0);
+	while (n < 0 && errno == EINTR);
+	if (n < 0 && errno == EAGAIN)
+		return;
+	if (n <= 0)
+		report_end(tcp, n == 0, now_us);
+	else
+		tcp->vtable->received(tcp, buffer, (size_t)n, now_us);
+}
+
+static void
+tcp_ready(bf_source_t *source, uint32_t events, bf_time_us_t now_us)
+{
+	bf_tcp_t *tcp = BF_CONTAINER(source, bf_tcp_t, source);
+
+	if (tcp->connecting && !finish_connect(tcp, now_us))
+		return;
+	if ((events & EPOLLOUT) != 0) {
+		flush_or_end(tcp, now_us);
+		if (!bf_tcp_is_open(tcp))
+			return;
+	}
+	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+		read_some(tcp, now_us);
+}
+
+static bf_code_t
+start(bf_tcp_t *tcp, const bf_tcp_vtable_t *vtable, bf_loop_t *loop, int fd,
+    uint32_t events, bf_error_t *err)
+{
+	unsigned int unconfirmed_ms = UNCONFIRMED_MS;
+	int on = 1;
+	bf_code_t code;
+
+	*tcp = (bf_tcp_t){
+		.vtable = vtable,
+		.loop = loop,
+		.source = { .ready = tcp_ready, .fd = fd },
+		.flush = { .run = run_flush },
+		.connecting = (events & EPOLLOUT) != 0,
+	};
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+	(void)setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &unconfirmed_ms,
+	    sizeof(unconfirmed_ms));
+	code = bf_loop_watch(loop, &tcp->source, events, err);
+	if (code != BF_OK) {
+		close(fd);
+		tcp->source.fd = -1;
+	}
+	return code;
+}
+
+bf_code_t
+bf_tcp_adopt(bf_tcp_t *tcp, const bf_tcp_vtable_t *vtable, bf_loop_t *loop,
+    int fd, bf_error_t *err)
+{
+	return start(tcp, vtable, loop, fd, READ_EVENTS, err);
+}
+
+bf_code_t
+bf_tcp_connect(bf_tcp_t *tcp, const bf_tcp_vtable_t *vtable, bf_loop_t *loop,
+    const struct sockaddr_in *address, bf_error_t *err)
+{
+	int fd;
+
+	tcp->source.fd = -1;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return bf_error_set(
+		    err, BF_ERR_IO, "socket: %s", strerror(errno));
+	if (connect(fd, (const struct sockaddr *)address, sizeof(*address)) !=
+		0 &&
+	    errno != EINPROGRESS) {
+		bf_error_set(err, BF_ERR_IO, "connect: %s", strerror(errno));
+		close(fd);
+		return BF_ERR_IO;
+	}
+	return start(tcp, vtable, loop, fd, READ_EVENTS | EPOLLOUT, err);
+}
+
+void
+bf_tcp_send_later(bf_tcp_t *tcp)
+{
+	if (bf_tcp_is_open(tcp))
+		bf_loop_task(tcp->loop, &tcp->flush);
+}
+
+void
+bf_tcp_send(bf_tcp_t *tcp, const void *data, size_t bytes)
+{
+	bf_bytes_add(&tcp->out, data, bytes);
+	bf_tcp_send_later(tcp);
+}
+
+void
+bf_tcp_close(bf_tcp_t *tcp)
+{
+	if (!bf_tcp_is_open(tcp))
+		return;
+	close(tcp->source.fd);
+	tcp->source.fd = -1;
+	bf_bytes_free(&tcp->out);
+}
+
+void
+bf_tcp_finish(bf_tcp_t *tcp)
+{
+	if (!bf_tcp_is_open(tcp))
+		return;
+	tcp->close_flushed = true;
+	bf_tcp_send_later(tcp);
+}
+
+static void
+listener_ready(bf_source_t *source, uint32_t events, bf_time_us_t now_us)
+{
+	bf_listener_t *listener = BF_CONTAINER(source, bf_listener_t, source);
+	struct sockaddr_in from;
+	socklen_t bytes;
+	int fd, i;
+
+	(void)events;
+	for (i = 0; i < ACCEPT_MAX && source->fd >= 0; i++) {
+		bytes = sizeof(from);
+		fd = accept4(source->fd, (struct sockaddr *)&from, &bytes,
+		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0)
+			return;
+		listener->accepted(listener, fd, &from, now_us);
+	}
+}
+
+bf_code_t
+bf_listener_open(bf_listener_t *listener, bf_loop_t *loop,
+    const struct sockaddr_in *address, bf_error_t *err)
+{
+	int fd, on = 1;
+	bf_code_t code;
+
+	listener->loop = loop;
+	listener->source = (bf_source_t){ .ready = listener_ready, .fd = -1 };
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	if (fd < 0)
+		return bf_error_set(
+		    err, BF_ERR_IO, "socket: %s", strerror(errno));
+	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
+	    listen(fd, LISTEN_BACKLOG) != 0) {
+		bf_error_set(err, BF_ERR_IO, "cannot listen on port %u: %s",
+		    (unsigned int)ntohs(address->sin_port), strerror(errno));
+		close(fd);
+		return BF_ERR_IO;
+	}
+	listener->source.fd = fd;
+	code = bf_loop_watch(loop, &listener->source, EPOLLIN, err);
+	if (code != BF_OK)
+		bf_listener_close(listener);
+	return code;
+}
+
+uint16_t
+bf_listener_port(const bf_listener_t *listener)
+{
+	struct sockaddr_in address = { 0 };
+	socklen_t bytes = sizeof(address);
+
+	if (getsockname(listener->source.fd, (struct sockaddr *)&address,
+		&bytes) != 0)
+		return 0;
+	return ntohs(address.sin_port);
+}
+
+void
+bf_listener_close(bf_listener_t *listener)
+{
+	if (listener->source.fd < 0)
+		return;
+	close(listener->source.fd);
+	listener->source.fd = -1;
+}
--- /dev/null
+++ b/settings/meshd.c
@@ -0,0 +1,174 @@
+#include <string.h>
+
+#include "settings/address.h"
+#include "settings/meshd.h"
+#include "toml/fields.h"
+
+#define MINUTE_MS 60000
+#define CONNECTIONS_MAX 1000000
+#define SHARE_MAX 10.0
+#define PPM 1000000.0
+#define GRACE_S_MAX 86400.0
+#define MS_PER_S 1000.0
+
+#define COUNT(array) (sizeof(array) / sizeof((array)[0]))
+#define AT(member) offsetof(bf_meshd_settings_t, member)
+#define NAME_EXPECTED "1 to 63 characters"
+
+static bool
+name_valid(const char *text)
+{
+	return text[0] != '\0' && strlen(text) < 64;
+}
+
+#define NEEDED(name, at, check, what)                                  \
+	{                                                              \
+		.key = (name), .kind = BF_FIELD_TEXT, .offset = (at),  \
+		.valid = (check), .expected = (what), .required = true \
+	}
+#define NUMBER(name, at, least, most)                                   \
+	{                                                               \
+		.key = (name), .kind = BF_FIELD_UINT32, .offset = (at), \
+		.min = (least), .max = (most)                           \
+	}
+#define ADDRESS(name, at) \
+	NEEDED(name, at, bf_address_valid, BF_ADDRESS_EXPECTED)
+#define SPECIFIC(name, at) \
+	NEEDED(name, at, bf_address_specific, BF_ADDRESS_EXPECTED)
+
+static const bf_field_t node_fields[] = {
+	NEEDED("instance", AT(node.instance), name_valid, NAME_EXPECTED),
+	NEEDED("availability_zone", AT(node.availability_zone), name_valid,
+	    NAME_EXPECTED),
+	NEEDED("service", AT(node.service), name_valid, NAME_EXPECTED),
+};
+
+static const bf_field_t caller_fields[] = {
+	ADDRESS("listen", AT(callers.listen)),
+	NUMBER("connections_max", AT(callers.connections_max), 0,
+	    CONNECTIONS_MAX),
+};
+
+static const bf_field_t peer_fields[] = {
+	SPECIFIC("listen", AT(peers.listen)),
+};
+
+static const bf_field_t target_fields[] = {
+	SPECIFIC("address", AT(target.address)),
+	ADDRESS("listen", AT(target.listen)),
+	NUMBER("heartbeat_ms", AT(target.heartbeat_ms), 1, MINUTE_MS),
+};
+
+static const bf_field_t platform_fields[] = {
+	ADDRESS("ready_listen", AT(platform.ready_listen)),
+	SPECIFIC("store", AT(platform.store)),
+};
+
+static const bf_field_t stop_fields[] = {
+	{ .key = "grace_s", .kind = BF_FIELD_OTHER }, /* a fraction */
+};
+
+static const bf_field_t repeat_fields[] = {
+	{ .key = "share", .kind = BF_FIELD_OTHER }, /* a fraction */
+	NUMBER("burst", AT(repeats.burst), 0, CONNECTIONS_MAX),
+};
+
+static const bf_field_t metric_fields[] = {
+	{ .key = "listen",
+	    .kind = BF_FIELD_TEXT,
+	    .offset = AT(metrics.listen),
+	    .valid = bf_address_valid,
+	    .expected = BF_ADDRESS_EXPECTED },
+};
+
+static const bf_field_t log_fields[] = {
+	NUMBER("sample_one_in", AT(log.sample_one_in), 0, UINT32_MAX),
+};
+
+static const struct {
+	const char *name;
+	const bf_field_t *fields;
+	size_t field_count;
+	bool required;
+} sections[] = {
+	{ "node", node_fields, COUNT(node_fields), true },
+	{ "callers", caller_fields, COUNT(caller_fields), true },
+	{ "peers", peer_fields, COUNT(peer_fields), true },
+	{ "target", target_fields, COUNT(target_fields), true },
+	{ "platform", platform_fields, COUNT(platform_fields), true },
+	{ "stop", stop_fields, COUNT(stop_fields), false },
+	{ "repeats", repeat_fields, COUNT(repeat_fields), false },
+	{ "metrics", metric_fields, COUNT(metric_fields), false },
+	{ "log", log_fields, COUNT(log_fields), false },
+};
+
+/* A number of the section that may have a fraction, times scale. */
+static void
+read_fraction(const bf_toml_node_t *root, const char *section, const char *key,
+    double most, double scale, uint32_t *out, bf_problems_t *problems)
+{
+	const char *name = bf_key_join(problems->pool, section, key);
+	const bf_toml_node_t *table, *node;
+	int64_t whole;
+	double value;
+
+	table = bf_toml_get(root, section);
+	node = table != NULL ? bf_toml_get(table, key) : NULL;
+	if (node == NULL)
+		return;
+	if (bf_toml_float(node, &value) != BF_OK) {
+		if (bf_toml_integer(node, &whole) != BF_OK) {
+			bf_problem_at(problems, BF_ERR_TYPE, node, name,
+			    "a number", "is no number");
+			return;
+		}
+		value = (double)whole;
+	}
+	if (!(value >= 0) || value > most)
+		bf_problem_at(problems, BF_ERR_RANGE, node, name,
+		    "a number from 0", "is out of its bounds");
+	else
+		*out = (uint32_t)(value * scale);
+}
+
+bf_code_t
+bf_meshd_settings_load(const char *path, apr_pool_t *pool,
+    bf_meshd_settings_t *settings, bf_problems_t *problems)
+{
+	bf_field_t known[COUNT(sections)] = { 0 };
+	const bf_toml_node_t *node;
+	bf_toml_node_t *root;
+	bf_code_t code;
+	size_t i;
+
+	*settings = (bf_meshd_settings_t){
+		.callers = { .connections_max = 0 },
+		.target = { .heartbeat_ms = 1500 },
+		.stop = { .grace_ms = 6000 },
+		.repeats = { .share_ppm = 100000, .burst = 10 },
+		.log = { .sample_one_in = 200 },
+	};
+	code = bf_toml_parse_file(path, pool, &root, problems);
+	if (code != BF_OK)
+		return code;
+	for (i = 0; i < COUNT(sections); i++) {
+		known[i].key = sections[i].name;
+		known[i].kind = BF_FIELD_OTHER;
+	}
+	bf_fields_read(root, "", known, COUNT(sections), NULL, problems);
+	for (i = 0; i < COUNT(sections); i++) {
+		node = bf_toml_get(root, sections[i].name);
+		if (node != NULL)
+			bf_fields_read(node, sections[i].name,
+			    sections[i].fields, sections[i].field_count,
+			    settings, problems);
+		else if (sections[i].required)
+			bf_problem_at(problems, BF_ERR_NOT_FOUND, root,
+			    sections[i].name, "a table", "is missing");
+	}
+	read_fraction(root, "repeats", "share", SHARE_MAX, PPM,
+	    &settings->repeats.share_ppm, problems);
+	read_fraction(root, "stop", "grace_s", GRACE_S_MAX, MS_PER_S,
+	    &settings->stop.grace_ms, problems);
+	return bf_problems_code(problems);
+}
--- /dev/null
+++ b/settings/meshd.h
@@ -0,0 +1,54 @@
+#ifndef BF_SETTINGS_MESHD_H
+#define BF_SETTINGS_MESHD_H
+
+#include <stdint.h>
+
+#include <apr_pools.h>
+
+#include "base/error.h"
+#include "toml/problem.h"
+
+/* Settings of basilmeshd, read from one TOML file; see basilmeshd.toml(5). */
+
+typedef struct bf_meshd_settings {
+	struct {
+		const char *instance;
+		const char *availability_zone;
+		const char *service;
+	} node;
+	struct {
+		const char *listen;
+		uint32_t connections_max;
+	} callers;
+	struct {
+		const char *listen; /* told to other nodes */
+	} peers;
+	struct {
+		const char *address; /* of the target beside the node */
+		const char *listen;  /* where it sends its heartbeats */
+		uint32_t heartbeat_ms;
+	} target;
+	struct {
+		const char *ready_listen;
+		const char *store;
+	} platform;
+	struct {
+		uint32_t grace_ms; /* from the signal to a forced end */
+	} stop;
+	struct {
+		uint32_t share_ppm; /* repeats to calls, of the whole mesh */
+		uint32_t burst;     /* repeats beyond that */
+	} repeats;
+	struct {
+		const char *listen; /* NULL: not served */
+	} metrics;
+	struct {
+		uint32_t sample_one_in; /* calls that are logged; 0: none */
+	} log;
+} bf_meshd_settings_t;
+
+/* Returns BF_OK, or the code of the first of all problems. */
+bf_code_t bf_meshd_settings_load(const char *path, apr_pool_t *pool,
+    bf_meshd_settings_t *settings, bf_problems_t *problems);
+
+#endif
--- a/tools/install-deps.sh
+++ b/tools/install-deps.sh
@@ -5,7 +5,7 @@
 packages="curl gcc g++ make cmake pkg-config clang clang-format clang-tidy
 libclang-rt-14-dev libapr1-dev libaprutil1-dev libzmq3-dev libmicrohttpd-dev
 libcurl4-openssl-dev libtomlplusplus-dev liburcu-dev libmsgpack-dev
-libjansson-dev libxxhash-dev libsodium-dev libglib2.0-dev libgsl-dev"
+libjansson-dev libxxhash-dev libsodium-dev libglib2.0-dev libgsl-dev libhttp-parser-dev"
 
 missing=
 for package in $packages; do
