Bound waits by what is left to the caller, rank inner calls, list after a cut

Late calls waited to their deadline and were then refused.

Ruled out: deaf nodes were in touch with the store (their lease was renewed); a shorter watch alone costs a call each and only narrows the gap.

Change: any watch that does not end well is followed by a list. Kept answers are moved out of the call first. A call that will be late waits for 0.3 of its time at most; a call of a target has the rank of the least urgent call that runs there, since it is not told which one needs it.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -16,8 +16,6 @@
 
 /* Nodes asked before a call is refused for want of room. */
 #define BUSY_OFFERS_MAX 3
-/* A body that is larger is not carried to several nodes to ask for room. */
-#define BODY_CARRIED_BYTES 8192
 /* The target's own word at the deadline is waited for this long. */
 #define LATE_US (60 * BF_US_PER_MS)
 /* Network time to a node and back, in the own zone and beyond. */
@@ -40,6 +38,7 @@
 	bf_time_us_t began_us;
 	bf_time_us_t deadline_us;
 	bf_time_us_t objective_us;
+	uint32_t priority;
 	bool inner;
 	bool may_have_run;
 	uint32_t sends;  /* that reached a target, perhaps */
@@ -145,6 +144,22 @@
 	    (double)retry_after_us(mesh, room_us) / BF_US_PER_S);
 }
 
+/* Ends a call with the failure of the first target that ran it. */
+static void
+answer_kept(bf_entry_call_t *call, bf_cause_t cause, bf_time_us_t now_us)
+{
+	bf_bytes_t fields = call->kept_fields, body = call->kept_body;
+
+	/* The call is freed before its answer is written. */
+	call->kept_fields = (bf_bytes_t){ 0 };
+	call->kept_body = (bf_bytes_t){ 0 };
+	log_end(call, call->kept_status, "failed", cause, now_us);
+	finish(call, call->kept_status, (const char *)bf_bytes_at(&fields),
+	    bf_bytes_at(&body), bf_bytes_count(&body));
+	bf_bytes_free(&fields);
+	bf_bytes_free(&body);
+}
+
 /* Ends a call without an answer of a target. */
 static void
 give_up(bf_entry_call_t *call, bf_cause_t cause, bf_time_us_t now_us)
@@ -153,11 +168,7 @@
 	uint32_t status;
 
 	if (call->kept_status != 0) {
-		log_end(call, call->kept_status, "failed", cause, now_us);
-		finish(call, call->kept_status,
-		    (const char *)bf_bytes_at(&call->kept_fields),
-		    bf_bytes_at(&call->kept_body),
-		    bf_bytes_count(&call->kept_body));
+		answer_kept(call, cause, now_us);
 		return;
 	}
 	if (!call->may_have_run) {
@@ -312,7 +323,7 @@
 		.repeatable = bf_route_repeatable(call->route),
 		.on_time = on_time,
 		.head_request = message->method == HTTP_HEAD,
-		.priority = call->route->priority,
+		.priority = call->priority,
 		.left_us = call->deadline_us - now_us,
 		.objective_left_us = call->objective_us - now_us,
 		.head = &call->head,
@@ -372,9 +383,7 @@
 		return;
 	}
 	chosen = bf_place_choose(places, count, &call->mesh->random);
-	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX &&
-	    bf_bytes_count(&call->request->message->body) <=
-		BODY_CARRIED_BYTES;
+	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX;
 	send_offer(call, peers[chosen], on_time, now_us);
 }
 
@@ -668,6 +677,9 @@
 	call->service = bf_route_service(route);
 	call->inner = request->from.sin_addr.s_addr ==
 	    mesh->options.target.sin_addr.s_addr;
+	call->priority = call->inner
+	    ? bf_target_caller_priority(mesh, route->priority)
+	    : route->priority;
 	id = bf_http_find(request->message, mesh->dialect->request_id);
 	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
 	    id != NULL ? id : "");
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -238,6 +238,10 @@
 
 	bf_metric_count(mesh->metrics.store_calls,
 	    code == BF_OK ? what : bf_code_name(code), 1);
+	if (code != BF_OK)
+		bf_event(mesh->events, BF_EVENT_STORE_CALL, now_us, "s:s,s:s,s:I",
+		    "call", what, "result", bf_code_name(code),
+		    "watched_revision", (json_int_t)mesh->follow.revision);
 	up = code != BF_ERR_UNAVAILABLE && code != BF_ERR_UNSETTLED &&
 	    code != BF_ERR_TIMEOUT && code != BF_ERR_LIMIT;
 	if (mesh->store_known && up == mesh->store_up)
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -114,6 +114,31 @@
 	};
 }
 
+uint32_t
+bf_target_caller_priority(const bf_mesh_t *mesh, uint32_t otherwise)
+{
+	const bf_inbound_t *inbound;
+	uint32_t priority = 0;
+	const bf_job_t *job;
+	bool any = false;
+
+	inbound = mesh->inbound;
+	job = mesh->target.jobs;
+	for (;;) {
+		for (; job != NULL; job = job->next) {
+			if (!job->running || job->waiter.priority < priority)
+				continue;
+			priority = job->waiter.priority;
+			any = true;
+		}
+		if (inbound == NULL)
+			break;
+		job = inbound->jobs;
+		inbound = inbound->next;
+	}
+	return any && priority > otherwise ? priority : otherwise;
+}
+
 uint32_t
 bf_target_busy(const bf_mesh_t *mesh)
 {
@@ -471,7 +496,7 @@
 	bf_waiter_t *waiter;
 
 	while ((waiter = bf_waiting_expired(waiting, now_us)) != NULL)
-		refuse((bf_job_t *)(void *)waiter, BF_CAUSE_EXPIRED, now_us);
+		refuse((bf_job_t *)(void *)waiter, BF_CAUSE_BUSY, now_us);
 	if (waiting->count > 0)
 		bf_loop_timer(mesh->loop, timer, now_us + EXPIRY_US);
 }
--- a/mesh/waiting.c
+++ b/mesh/waiting.c
@@ -5,10 +5,10 @@
 /* Weight of the newest call in the moving average. */
 #define MEAN_WEIGHT 0.05
 /*
- * A waiting call is given up when less than this part of its expected work
- * fits before its deadline: work times vary, and many calls take less.
+ * A call that will be late waits for this part of its time at most, so that
+ * its caller, who comes back once, has most of the time left for that.
  */
-#define FIT_SHARE 0.5
+#define LATE_WAIT_SHARE 0.3
 
 void
 bf_waiting_init(bf_waiting_t *waiting, uint32_t slots)
@@ -33,14 +33,14 @@
 {
 	bool a_late, b_late;
 
-	if (a->inner != b->inner)
-		return a->inner;
 	a_late = is_late(a, now_us);
 	b_late = is_late(b, now_us);
 	if (a_late != b_late)
 		return b_late;
 	if (a->priority != b->priority)
 		return a->priority < b->priority;
+	if (a->inner != b->inner)
+		return a->inner;
 	return a->objective_us < b->objective_us;
 }
 
@@ -66,20 +66,40 @@
 	return (bf_time_us_t)(ahead_us / waiting->slots);
 }
 
+/*
+ * The latest start that helps the caller.  A target that waits for a call it
+ * made does not come back, so such a call may use all of its time.
+ */
+static bf_time_us_t
+latest_start_us(const bf_waiter_t *waiter, bool on_time, bf_time_us_t now_us)
+{
+	bf_time_us_t start_us = waiter->objective_us - waiter->work_us, late_us;
+
+	if (on_time)
+		return start_us;
+	if (waiter->inner)
+		return waiter->deadline_us - waiter->work_us;
+	late_us = now_us +
+	    (bf_time_us_t)(LATE_WAIT_SHARE *
+		(double)(waiter->deadline_us - now_us));
+	if (late_us > waiter->deadline_us - waiter->work_us)
+		late_us = waiter->deadline_us - waiter->work_us;
+	return start_us > late_us ? start_us : late_us;
+}
+
 bf_ask_t
 bf_waiting_ask(bf_waiting_t *waiting, bf_waiter_t *waiter, bool on_time,
     bf_time_us_t now_us)
 {
-	bf_time_us_t end_us;
+	bf_time_us_t start_us;
 
 	if (waiting->running < waiting->slots && waiting->count == 0) {
 		waiting->running++;
 		return BF_ASK_GO;
 	}
-	end_us = now_us + waiter->work_us +
-	    bf_waiting_expected_us(waiting, waiter, now_us);
-	if (waiting->slots == 0 || end_us > waiter->deadline_us ||
-	    (on_time && end_us > waiter->objective_us))
+	waiter->give_up_us = latest_start_us(waiter, on_time, now_us);
+	start_us = now_us + bf_waiting_expected_us(waiting, waiter, now_us);
+	if (waiting->slots == 0 || start_us > waiter->give_up_us)
 		return BF_ASK_REFUSE;
 	TAILQ_INSERT_TAIL(&waiting->list, waiter, link);
 	waiting->count++;
@@ -119,8 +139,7 @@
 
 	TAILQ_FOREACH(waiter, &waiting->list, link)
 	{
-		if ((double)now_us + FIT_SHARE * (double)waiter->work_us >
-		    (double)waiter->deadline_us) {
+		if (now_us > waiter->give_up_us) {
 			take_out(waiting, waiter);
 			return waiter;
 		}
--- a/mesh/waiting.h
+++ b/mesh/waiting.h
@@ -15,9 +15,10 @@
  * Answers the load pattern "more arrives than the slots can do, for seconds":
  * with one queue in order of arrival every call waits until it is late.  Here
  * a call that is expected to miss its objective is refused on arrival, so that
- * its entry tries elsewhere at once; the order is calls made by targets (their
- * parents hold slots), then by priority, then by objective; calls that missed
- * their objective fill what is left.
+ * its entry tries elsewhere at once; the order is by priority, then calls made
+ * by targets (their parents hold slots), then by objective; calls that missed
+ * their objective fill what is left, and are refused while their caller still
+ * has time to come back.
  */
 
 typedef struct bf_waiter bf_waiter_t;
@@ -27,6 +28,7 @@
 	uint32_t priority; /* 0 is the most urgent */
 	bf_time_us_t objective_us; /* on time until then */
 	bf_time_us_t deadline_us;  /* useless afterwards */
+	bf_time_us_t give_up_us;   /* not started by then, it is refused */
 	bf_time_us_t work_us;      /* expected time at the target */
 };
 
@@ -54,8 +56,8 @@
 
 /*
  * A call arrives.  on_time: it is refused if it is expected to miss its
- * objective, as its entry has other targets to ask; else only if it is
- * expected to miss its deadline.
+ * objective, as its entry has other targets to ask; else if it is expected to
+ * wait longer than its caller should.  Sets give_up_us.
  */
 bf_ask_t bf_waiting_ask(bf_waiting_t *waiting, bf_waiter_t *waiter,
     bool on_time, bf_time_us_t now_us);
--- a/observe/events.h
+++ b/observe/events.h
@@ -20,6 +20,7 @@
 	BF_EVENT_SETTINGS,    /* read again */
 	BF_EVENT_STORE_UP,    /* the store answers */
 	BF_EVENT_STORE_DOWN,
+	BF_EVENT_STORE_CALL,  /* one that did not succeed */
 	BF_EVENT_PEER_UP,
 	BF_EVENT_PEER_DOWN,
 	BF_EVENT_PEER_GONE,   /* forgotten */
--- a/store/follow.c
+++ b/store/follow.c
@@ -100,6 +100,12 @@
 		next_call(follow, now_us);
 		return;
 	default:
+		/*
+		 * A watch that was cut may have missed changes whose history
+		 * is gone by now, and the next one might not be told so.
+		 */
+		if (!follow->listing)
+			begin_list(follow);
 		follow->failures++;
 		bf_loop_timer(follow->loop, &follow->retry,
 		    now_us +
