Rank a call that a target makes as the call that needs it

All callers of a node share its address, so an address told nothing; the id of a made call begins with that of its parent.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -675,14 +675,16 @@
 	bf_routing_hold(mesh->routing);
 	call->route = route;
 	call->service = bf_route_service(route);
-	call->inner = request->from.sin_addr.s_addr ==
-	    mesh->options.target.sin_addr.s_addr;
-	call->priority = call->inner
-	    ? bf_target_caller_priority(mesh, route->priority)
-	    : route->priority;
 	id = bf_http_find(request->message, mesh->dialect->request_id);
 	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
 	    id != NULL ? id : "");
+	/*
+	 * A call that a target makes ranks as the one that needs it: it would
+	 * otherwise take room from what operators rank above that one.
+	 */
+	call->priority = route->priority;
+	call->inner =
+	    bf_target_made(mesh, call->request_id, &call->priority);
 	request->user = call;
 	mesh->entry_count++;
 	set_times(call, now_us);
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -347,10 +347,11 @@
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
 /*
- * The priority of a call that the own target makes: which of its running calls
- * needs it is not known, so it counts as the least urgent of them.
+ * Whether a call of that id was made by one that runs at the own target; then
+ * also the priority of that one.
  */
-uint32_t bf_target_caller_priority(const bf_mesh_t *mesh, uint32_t otherwise);
+bool bf_target_made(
+    const bf_mesh_t *mesh, const char *id, uint32_t *priority);
 uint32_t bf_target_busy(const bf_mesh_t *mesh);
 
 /* Codecs of the frames that more than one part reads or writes. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -114,29 +114,40 @@
 	};
 }
 
-uint32_t
-bf_target_caller_priority(const bf_mesh_t *mesh, uint32_t otherwise)
+/* Whether id is that of a call which the job's run made: "PARENT.OWN". */
+static bool
+is_made_by(const bf_job_t *job, const char *id)
+{
+	size_t bytes = strlen(job->request_id);
+
+	return job->running && bytes > 0 && id[bytes] == '.' &&
+	    strncmp(id, job->request_id, bytes) == 0;
+}
+
+static const bf_job_t *
+find_maker(const bf_job_t *job, const char *id)
+{
+	while (job != NULL && !is_made_by(job, id))
+		job = job->next;
+	return job;
+}
+
+bool
+bf_target_made(const bf_mesh_t *mesh, const char *id, uint32_t *priority)
 {
 	const bf_inbound_t *inbound;
-	uint32_t priority = 0;
 	const bf_job_t *job;
-	bool any = false;
-
-	inbound = mesh->inbound;
-	job = mesh->target.jobs;
-	for (;;) {
-		for (; job != NULL; job = job->next) {
-			if (!job->running || job->waiter.priority < priority)
-				continue;
-			priority = job->waiter.priority;
-			any = true;
-		}
-		if (inbound == NULL)
-			break;
-		job = inbound->jobs;
-		inbound = inbound->next;
-	}
-	return any && priority > otherwise ? priority : otherwise;
+
+	if (strchr(id, '.') == NULL)
+		return false;
+	job = find_maker(mesh->target.jobs, id);
+	for (inbound = mesh->inbound; job == NULL && inbound != NULL;
+	     inbound = inbound->next)
+		job = find_maker(inbound->jobs, id);
+	if (job == NULL)
+		return false;
+	*priority = job->waiter.priority;
+	return true;
 }
 
 uint32_t
