Refuse calls whose dependency is full; stay in the zone while in time

Bytes between zones were the largest price of Velebit.

Change: a throttle a route, by the share of runs that starved of late; near targets go first while a call is expected to end within 0.8 of its objective; the budget of repeats uses 0.85 of the shared rate, and calls made by a repeat are charged to it.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -24,8 +24,19 @@
 /* When no node said when there is room. */
 #define RETRY_AFTER_US (100 * BF_US_PER_MS)
 #define RETRY_AFTER_MIN_US (30 * BF_US_PER_MS)
-/* A part of the budget is left to what other nodes do at the same time. */
-#define BUDGET_PART 0.5
+/*
+ * Parts of the shared budget that the nodes use together: a window may begin
+ * with all bursts saved up.
+ */
+#define BUDGET_SHARE_PART 0.85
+#define BUDGET_BURST_PART 0.5
+/*
+ * A call stays in its zone while it is expected to end there within this part
+ * of its objective; one with a long body, within the larger part.
+ */
+#define NEAR_SHARE 0.8
+#define NEAR_SHARE_LONG 0.9
+#define LONG_BODY_BYTES 8192
 #define PLACES_MAX 512
 
 struct bf_entry_call {
@@ -40,6 +51,7 @@
 	bf_time_us_t objective_us;
 	uint32_t priority;
 	bool inner;
+	bool of_repeat; /* made by a run that was a repeat */
 	bool may_have_run;
 	uint32_t sends;  /* that reached a target, perhaps */
 	uint32_t offers;
@@ -63,7 +75,7 @@
 	static const char *const names[BF_CAUSE_COUNT] = { "none", "busy",
 		"draining", "no-target", "expired", "connect", "rejected",
 		"broken", "bad-answer", "timeout", "peer-lost", "no-config",
-		"no-route", "no-place", "memory" };
+		"no-route", "no-place", "memory", "starving" };
 
 	return names[cause];
 }
@@ -172,6 +184,8 @@
 		return;
 	}
 	if (!call->may_have_run) {
+		if (call->inner && cause == BF_CAUSE_BUSY)
+			bf_target_starved(call->mesh, call->request_id);
 		retry_after_field(
 		    call->mesh, call->room_us, field, sizeof(field));
 		log_end(call, 503, "not-run", cause, now_us);
@@ -199,13 +213,36 @@
 	entry = &mesh->budgets[mesh->budget_count++];
 	(void)snprintf(
 	    entry->service, sizeof(entry->service), "%s", service);
-	part = BUDGET_PART * mesh->options.retry_share_ppm;
-	burst = BUDGET_PART * mesh->options.retry_burst / mesh->peer_count;
+	part = BUDGET_SHARE_PART * mesh->options.retry_share_ppm;
+	burst = BUDGET_BURST_PART * mesh->options.retry_burst / mesh->peer_count;
 	bf_budget_init(&entry->budget, (uint32_t)part,
 	    burst < 1 ? 1 : (uint32_t)burst);
 	return &entry->budget;
 }
 
+static bf_throttle_t *
+throttle_of(bf_mesh_t *mesh, const bf_mesh_route_t *route)
+{
+	uint32_t hash = (uint32_t)bf_hash_text(route->name, 0), i;
+
+	for (i = 0; i < mesh->throttle_count; i++) {
+		if (mesh->throttles[i].route == hash)
+			return &mesh->throttles[i].throttle;
+	}
+	if (mesh->throttle_count == BF_ROUTE_THROTTLES)
+		return NULL;
+	mesh->throttles[mesh->throttle_count] =
+	    (bf_route_throttle_t){ .route = hash };
+	return &mesh->throttles[mesh->throttle_count++].throttle;
+}
+
+/* Uniform from 0 to below 1. */
+static double
+random_share(bf_mesh_t *mesh)
+{
+	return (double)(bf_place_random(&mesh->random) >> 11) * 0x1p-53;
+}
+
 static bool
 take_repeat(bf_entry_call_t *call)
 {
@@ -323,6 +360,7 @@
 		.repeatable = bf_route_repeatable(call->route),
 		.on_time = on_time,
 		.head_request = message->method == HTTP_HEAD,
+		.repeat = call->sends > 0 || call->of_repeat,
 		.priority = call->priority,
 		.left_us = call->deadline_us - now_us,
 		.objective_left_us = call->objective_us - now_us,
@@ -368,6 +406,8 @@
 	static bf_place_t places[PLACES_MAX];
 	static bf_peer_t *peers[PLACES_MAX];
 	size_t count, chosen;
+	bf_time_us_t near_us;
+	double near_share;
 	bool on_time;
 
 	if (now_us >= call->deadline_us) {
@@ -382,7 +422,13 @@
 		    now_us);
 		return;
 	}
-	chosen = bf_place_choose(places, count, &call->mesh->random);
+	near_share = bf_bytes_count(&call->request->message->body) >
+		LONG_BODY_BYTES
+	    ? NEAR_SHARE_LONG
+	    : NEAR_SHARE;
+	near_us = (bf_time_us_t)(near_share *
+	    (double)(call->objective_us - now_us));
+	chosen = bf_place_choose(places, count, near_us, &call->mesh->random);
 	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX;
 	send_offer(call, peers[chosen], on_time, now_us);
 }
@@ -460,7 +506,8 @@
 repeat_failure(
     bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
 {
-	if (reply->status < 500 || !bf_route_repeatable(call->route) ||
+	if (reply->status < 500 || reply->starved ||
+	    !bf_route_repeatable(call->route) ||
 	    call->kept_status != 0 ||
 	    call->deadline_us - now_us < reply->spent_us ||
 	    !may_repeat(call, now_us))
@@ -477,8 +524,12 @@
 take_answer(
     bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
 {
+	bf_throttle_t *throttle = throttle_of(call->mesh, call->route);
+
 	call->sends++;
 	call->may_have_run = true;
+	if (throttle != NULL)
+		bf_throttle_count(throttle, reply->starved, now_us);
 	bf_metric_count(call->mesh->metrics.offers,
 	    reply->status < 500 ? "answered" : "failed", 1);
 	if (repeat_failure(call, reply, now_us))
@@ -650,6 +701,8 @@
 	const char *host, *id;
 	bf_mesh_route_t *route;
 	bf_entry_call_t *call;
+	bf_throttle_t *throttle;
+	const bf_job_t *maker;
 	bf_budget_t *budget;
 
 	if (mesh->routing == NULL) {
@@ -682,9 +735,11 @@
 	 * A call that a target makes ranks as the one that needs it: it would
 	 * otherwise take room from what operators rank above that one.
 	 */
-	call->priority = route->priority;
-	call->inner =
-	    bf_target_made(mesh, call->request_id, &call->priority);
+	maker = bf_target_maker(mesh, call->request_id);
+	call->inner = maker != NULL;
+	call->priority =
+	    maker != NULL ? bf_job_priority(maker) : route->priority;
+	call->of_repeat = maker != NULL && bf_job_is_repeat(maker);
 	request->user = call;
 	mesh->entry_count++;
 	set_times(call, now_us);
@@ -692,9 +747,16 @@
 	bf_loop_timer(mesh->loop, &call->timeout, call->deadline_us + LATE_US);
 	write_head(call);
 	budget = budget_of(mesh, call->service);
-	if (budget != NULL)
+	if (budget != NULL && call->of_repeat)
+		bf_budget_charge(budget);
+	else if (budget != NULL)
 		bf_budget_earn(budget);
-	place(call, now_us);
+	throttle = throttle_of(mesh, route);
+	if (!call->inner && throttle != NULL &&
+	    bf_throttle_refuses(throttle, random_share(mesh), now_us))
+		give_up(call, BF_CAUSE_STARVING, now_us);
+	else
+		place(call, now_us);
 }
 
 static void
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -9,6 +9,7 @@
 #include "mesh/link.h"
 #include "mesh/mesh.h"
 #include "mesh/placing.h"
+#include "mesh/throttle.h"
 #include "mesh/waiting.h"
 #include "route/budget.h"
 #include "store/follow.h"
@@ -113,6 +114,7 @@
 	BF_CAUSE_NO_ROUTE,
 	BF_CAUSE_NO_PLACE,    /* no target of the service is known */
 	BF_CAUSE_MEMORY,
+	BF_CAUSE_STARVING,    /* runs of its route fail for want of room */
 	BF_CAUSE_COUNT
 } bf_cause_t;
 
@@ -129,6 +131,7 @@
 	bf_time_us_t waited_us;
 	bf_time_us_t spent_us; /* at the target */
 	bf_time_us_t expected_us; /* of a refusal: until there is room */
+	bool starved; /* a call that the run made found no room */
 } bf_reply_t;
 
 /* A call as its entry gives it to the node beside a target. */
@@ -141,6 +144,7 @@
 	bool repeatable;
 	bool on_time; /* refuse it if it would be late */
 	bool head_request;
+	bool repeat; /* another target may have run it */
 	uint32_t priority;
 	bf_time_us_t left_us;
 	bf_time_us_t objective_left_us;
@@ -196,6 +200,14 @@
 	bf_mesh_t *mesh;
 } bf_known_move_t;
 
+/* Refusals of calls of a route, by the hash of its name. */
+typedef struct bf_route_throttle {
+	uint32_t route;
+	bf_throttle_t throttle;
+} bf_route_throttle_t;
+
+#define BF_ROUTE_THROTTLES 64
+
 /* Repeats of calls to a service. */
 typedef struct bf_service_budget {
 	char service[BF_NAME_BYTES];
@@ -270,6 +282,8 @@
 	uint32_t entry_count;
 	bf_service_budget_t budgets[BF_SERVICES_MAX];
 	uint32_t budget_count;
+	bf_route_throttle_t throttles[BF_ROUTE_THROTTLES];
+	uint32_t throttle_count;
 
 	bf_own_target_t target;
 	bf_known_move_t moves[BF_MOVES_MAX];
@@ -346,12 +360,12 @@
 void bf_target_lost(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
-/*
- * Whether a call of that id was made by one that runs at the own target; then
- * also the priority of that one.
- */
-bool bf_target_made(
-    const bf_mesh_t *mesh, const char *id, uint32_t *priority);
+/* The run at the own target that made a call of that id, or NULL. */
+bf_job_t *bf_target_maker(const bf_mesh_t *mesh, const char *id);
+uint32_t bf_job_priority(const bf_job_t *job);
+bool bf_job_is_repeat(const bf_job_t *job);
+/* The call of that id found no room: its maker's run, if any, has starved. */
+void bf_target_starved(bf_mesh_t *mesh, const char *id);
 uint32_t bf_target_busy(const bf_mesh_t *mesh);
 
 /* Codecs of the frames that more than one part reads or writes. */
--- a/mesh/placing.c
+++ b/mesh/placing.c
@@ -43,15 +43,15 @@
 }
 
 static bool
-has_room(const bf_place_t *place)
+is_near_enough(const bf_place_t *place, bf_time_us_t near_us)
 {
-	return load_of(place) < place->slots && !place->doubtful;
+	return place->near && bf_place_expected_us(place) <= near_us;
 }
 
 /* Two different ones of the places that pass, the better of them. */
 static size_t
-better_of_two(const bf_place_t *places, size_t count, bool near_with_room,
-    size_t passing, uint64_t *random)
+better_of_two(const bf_place_t *places, size_t count, bool near_only,
+    bf_time_us_t near_us, size_t passing, uint64_t *random)
 {
 	size_t first, second, seen = 0, i, best = BF_PLACE_NONE;
 	bf_time_us_t cost_us, best_us = 0;
@@ -64,8 +64,7 @@
 			second++;
 	}
 	for (i = 0; i < count; i++) {
-		if (near_with_room &&
-		    !(places[i].near && has_room(&places[i])))
+		if (near_only && !is_near_enough(&places[i], near_us))
 			continue;
 		if (seen == first || seen == second) {
 			cost_us = bf_place_expected_us(&places[i]);
@@ -80,17 +79,19 @@
 }
 
 size_t
-bf_place_choose(const bf_place_t *places, size_t count, uint64_t *random)
+bf_place_choose(const bf_place_t *places, size_t count, bf_time_us_t near_us,
+    uint64_t *random)
 {
 	size_t near = 0, i;
 
 	if (count == 0)
 		return BF_PLACE_NONE;
 	for (i = 0; i < count; i++) {
-		if (places[i].near && has_room(&places[i]))
+		if (is_near_enough(&places[i], near_us))
 			near++;
 	}
 	if (near > 0)
-		return better_of_two(places, count, true, near, random);
-	return better_of_two(places, count, false, count, random);
+		return better_of_two(
+		    places, count, true, near_us, near, random);
+	return better_of_two(places, count, false, near_us, count, random);
 }
--- a/mesh/placing.h
+++ b/mesh/placing.h
@@ -15,8 +15,9 @@
  * some tens of milliseconds old": the one that looks best to all is flooded
  * before the next report, so each call compares two at random (Mitzenmacher,
  * The power of two choices in randomized load balancing, 2001) by the expected
- * time to its end.  The own availability zone goes first while it has a free
- * slot, as that costs the caller nothing.
+ * time to its end.  The own availability zone goes first while a call there is
+ * expected to end well within its time, as that costs the caller nothing and
+ * bytes between zones are dear.
  */
 
 typedef struct bf_place {
@@ -37,11 +38,12 @@
 bf_time_us_t bf_place_expected_us(const bf_place_t *place);
 
 /*
- * The place for a call, or BF_PLACE_NONE when count is 0.  random is the state
- * of the caller's generator.
+ * The place for a call, or BF_PLACE_NONE when count is 0.  Places of the own
+ * zone where it is expected to end within near_us go first.  random is the
+ * state of the caller's generator.
  */
-size_t bf_place_choose(
-    const bf_place_t *places, size_t count, uint64_t *random);
+size_t bf_place_choose(const bf_place_t *places, size_t count,
+    bf_time_us_t near_us, uint64_t *random);
 
 /* A number of the generator (xorshift64*); its state must not be 0. */
 uint64_t bf_place_random(uint64_t *random);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -229,6 +229,7 @@
 	reply.waited_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
 	reply.spent_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
 	reply.expected_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
+	reply.starved = bf_wire_read_uint(reader, 1) != 0;
 	bf_wire_read_load(reader, &load);
 	bf_wire_read_text(reader, fields, sizeof(fields));
 	if (reader->code != BF_OK) {
@@ -253,6 +254,7 @@
 	bf_wire_write_uint(writer, (uint64_t)reply->waited_us);
 	bf_wire_write_uint(writer, (uint64_t)reply->spent_us);
 	bf_wire_write_uint(writer, (uint64_t)reply->expected_us);
+	bf_wire_write_uint(writer, reply->starved);
 	bf_wire_write_load(writer, load);
 	bf_wire_write_text(
 	    writer, reply->fields != NULL ? reply->fields : "");
@@ -545,6 +547,7 @@
 	offer.on_time = (flags & 4) != 0;
 	offer.head_request = (flags & 8) != 0;
 	offer.has_body = (flags & 16) != 0;
+	offer.repeat = (flags & 32) != 0;
 	/* What a cut held back has less time left than its sender wrote. */
 	offer.left_us -= frame->delay_us;
 	offer.objective_left_us -= frame->delay_us;
@@ -564,7 +567,8 @@
 	    (uint64_t)offer->inner | (uint64_t)offer->repeatable << 1 |
 		(uint64_t)offer->on_time << 2 |
 		(uint64_t)offer->head_request << 3 |
-		(uint64_t)offer->has_body << 4);
+		(uint64_t)offer->has_body << 4 |
+		(uint64_t)offer->repeat << 5);
 	bf_wire_write_uint(writer, offer->priority);
 	bf_wire_write_uint(writer,
 	    (uint64_t)(offer->left_us > 0 ? offer->left_us : 0));
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -45,6 +45,8 @@
 	bf_bytes_t body;
 	bool has_body;
 	bool repeatable;
+	bool repeat;
+	bool starved; /* a call that it made found no room */
 	bool waiting;
 	bool running;
 	bf_time_us_t arrived_us;
@@ -124,30 +126,48 @@
 	    strncmp(id, job->request_id, bytes) == 0;
 }
 
-static const bf_job_t *
-find_maker(const bf_job_t *job, const char *id)
+static bf_job_t *
+find_maker(bf_job_t *job, const char *id)
 {
 	while (job != NULL && !is_made_by(job, id))
 		job = job->next;
 	return job;
 }
 
-bool
-bf_target_made(const bf_mesh_t *mesh, const char *id, uint32_t *priority)
+bf_job_t *
+bf_target_maker(const bf_mesh_t *mesh, const char *id)
 {
 	const bf_inbound_t *inbound;
-	const bf_job_t *job;
+	bf_job_t *job;
 
 	if (strchr(id, '.') == NULL)
-		return false;
+		return NULL;
 	job = find_maker(mesh->target.jobs, id);
 	for (inbound = mesh->inbound; job == NULL && inbound != NULL;
 	     inbound = inbound->next)
 		job = find_maker(inbound->jobs, id);
-	if (job == NULL)
-		return false;
-	*priority = job->waiter.priority;
-	return true;
+	return job;
+}
+
+uint32_t
+bf_job_priority(const bf_job_t *job)
+{
+	return job->waiter.priority;
+}
+
+bool
+bf_job_is_repeat(const bf_job_t *job)
+{
+	return job->repeat;
+}
+
+void
+bf_target_starved(bf_mesh_t *mesh, const char *id)
+{
+	bf_job_t *job = bf_target_maker(mesh, id);
+
+	if (job != NULL)
+		job->starved = true;
 }
 
 uint32_t
@@ -359,9 +379,10 @@
 		.body_bytes = bf_bytes_count(&message->body),
 		.waited_us = job->sent_us - job->arrived_us,
 		.spent_us = now_us - job->sent_us,
+		.starved = job->starved && message->status >= 500,
 	};
 
-	count_run(job, message->status >= 500, now_us);
+	count_run(job, message->status >= 500 && !job->starved, now_us);
 	end_run(job, now_us - job->sent_us);
 	log_run(job, "answered", message->status, now_us);
 	put_fields(message, &fields);
@@ -527,6 +548,7 @@
 		.id = offer->id,
 		.has_body = offer->has_body,
 		.repeatable = offer->repeatable,
+		.repeat = offer->repeat,
 		.arrived_us = now_us,
 		.sent_us = now_us,
 		.exchange = { .done = on_exchange,
