--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -330,8 +330,7 @@
 	if (meshd->kv != NULL)
 		meshd->kv->vtable->free(meshd->kv);
 	if (meshd->events != NULL)
-		(void)bf_events_flush(
-		    meshd->events, bf_clock_monotonic_us());
+		(void)bf_events_flush(meshd->events, bf_clock_monotonic_us());
 	bf_events_free(meshd->events);
 	bf_metrics_set_free(meshd->metrics);
 	bf_loop_free(meshd->loop);
--- a/http/client.c
+++ b/http/client.c
@@ -228,8 +228,7 @@
 	link->reader.no_body = exchange->head;
 	link->exchange = exchange;
 	exchange->link = link;
-	bf_bytes_add(
-	    &link->tcp.out, bf_bytes_at(head), bf_bytes_count(head));
+	bf_bytes_add(&link->tcp.out, bf_bytes_at(head), bf_bytes_count(head));
 	if (body != NULL)
 		bf_bytes_add(
 		    &link->tcp.out, bf_bytes_at(body), bf_bytes_count(body));
--- a/http/message.c
+++ b/http/message.c
@@ -278,8 +278,7 @@
 }
 
 bf_http_fault_t
-bf_http_reader_feed(
-    bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+bf_http_reader_feed(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
 {
 	enum http_errno code;
 	size_t used;
@@ -307,6 +306,5 @@
 {
 	if (reader->fault == BF_HTTP_OK &&
 	    HTTP_PARSER_ERRNO(&reader->parser) == HPE_OK)
-		(void)http_parser_execute(
-		    &reader->parser, &callbacks, NULL, 0);
+		(void)http_parser_execute(&reader->parser, &callbacks, NULL, 0);
 }
--- a/http/message.h
+++ b/http/message.h
@@ -79,10 +79,10 @@
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
 	bf_http_fault_t fault;
-	bool in_value;  /* the last piece of a head was a value */
-	bool one;       /* stop after one message */
-	bool no_body;   /* responses: to a HEAD request */
-	bool extra;     /* with one: bytes came after the message */
+	bool in_value; /* the last piece of a head was a value */
+	bool one;      /* stop after one message */
+	bool no_body;  /* responses: to a HEAD request */
+	bool extra;    /* with one: bytes came after the message */
 };
 
 /* requests: whether the messages are requests.  vtable is the first member. */
--- a/http/server.c
+++ b/http/server.c
@@ -17,12 +17,12 @@
 	struct sockaddr_in from;
 	bf_http_request_t *first;
 	bf_http_request_t **last;
-	bf_time_us_t now_us;     /* of the round that reads */
-	bf_time_us_t began_us;   /* of the message being read; 0: none */
-	bool in_head;            /* its head is not whole yet */
-	bf_time_us_t active_us;  /* last byte read or answer written */
-	bf_time_us_t idle_us;    /* longest idle time promised */
-	bool reading_ended;      /* what comes after is not read */
+	bf_time_us_t now_us;    /* of the round that reads */
+	bf_time_us_t began_us;  /* of the message being read; 0: none */
+	bool in_head;           /* its head is not whole yet */
+	bf_time_us_t active_us; /* last byte read or answer written */
+	bf_time_us_t idle_us;   /* longest idle time promised */
+	bool reading_ended;     /* what comes after is not read */
 };
 
 static bf_http_conn_t *
@@ -108,8 +108,8 @@
 }
 
 void
-bf_http_answer(bf_http_request_t *request, uint32_t status,
-    const char *fields, const void *body, size_t body_bytes)
+bf_http_answer(bf_http_request_t *request, uint32_t status, const char *fields,
+    const void *body, size_t body_bytes)
 {
 	bf_http_conn_t *conn = request->conn;
 	bf_bytes_t *out = &request->answer;
@@ -331,8 +331,7 @@
 static void
 sweep(bf_timer_t *timer, bf_time_us_t now_us)
 {
-	bf_http_server_t *server =
-	    BF_CONTAINER(timer, bf_http_server_t, sweep);
+	bf_http_server_t *server = BF_CONTAINER(timer, bf_http_server_t, sweep);
 	bf_http_conn_t *conn, *next;
 
 	for (conn = server->conns; conn != NULL; conn = next) {
--- a/http/server.h
+++ b/http/server.h
@@ -22,8 +22,8 @@
 	 * The client left before its answer: the request is freed after the
 	 * call.  Only for requests with a user.
 	 */
-	void (*abandoned)(bf_http_server_t *server,
-	    bf_http_request_t *request, bf_time_us_t now_us);
+	void (*abandoned)(bf_http_server_t *server, bf_http_request_t *request,
+	    bf_time_us_t now_us);
 } bf_http_server_vtable_t;
 
 struct bf_http_request {
@@ -54,7 +54,7 @@
 	bf_http_limits_t limits;
 	uint32_t conn_count;
 	uint32_t conn_max; /* 0: no bound */
-	bool closing; /* each answer ends its connection */
+	bool closing;      /* each answer ends its connection */
 };
 
 /* Set vtable, limits and conn_max before. */
--- a/mesh/dialect.h
+++ b/mesh/dialect.h
@@ -23,9 +23,9 @@
 	/* Keys of the store. */
 	const char *operator_prefix; /* all that operators write */
 	const char *config_key;
-	const char *order_prefix;    /* of moves; the service follows */
-	const char *outcome_prefix;  /* of moves; the service follows */
-	const char *member_prefix;   /* of the nodes' own entries */
+	const char *order_prefix;   /* of moves; the service follows */
+	const char *outcome_prefix; /* of moves; the service follows */
+	const char *member_prefix;  /* of the nodes' own entries */
 
 	/* Decoders; a typed error for anything that is not whole and valid. */
 	bf_code_t (*decode_config)(const void *data, size_t bytes,
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -53,13 +53,13 @@
 	bool inner;
 	bool of_repeat; /* made by a run that was a repeat */
 	bool may_have_run;
-	uint32_t sends;  /* that reached a target, perhaps */
+	uint32_t sends; /* that reached a target, perhaps */
 	uint32_t offers;
-	uint32_t busy;   /* offers refused for want of room */
+	uint32_t busy; /* offers refused for want of room */
 	bf_peer_t *tried[BF_OFFERS_MAX];
 	bf_peer_t *peer; /* that has the offer; NULL: none */
 	uint64_t offer;
-	bf_cause_t cause; /* of the last offer that failed */
+	bf_cause_t cause;     /* of the last offer that failed */
 	bf_time_us_t room_us; /* least expected time to room */
 	bf_bytes_t head;
 	bf_timer_t timeout;
@@ -107,8 +107,7 @@
 
 	bf_metric_count(mesh->metrics.calls, outcome, 1);
 	if (cause != BF_CAUSE_NONE)
-		bf_metric_count(
-		    mesh->metrics.causes, bf_cause_name(cause), 1);
+		bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
 	bf_metric_time(
 	    mesh->metrics.latency, call->service, now_us - call->began_us);
 	if (status < 400 && !bf_events_sampled(mesh->events, call->request_id))
@@ -144,8 +143,7 @@
 	if (pause_us < RETRY_AFTER_MIN_US)
 		pause_us = RETRY_AFTER_MIN_US;
 	return pause_us +
-	    (bf_time_us_t)(bf_place_random(&mesh->random) %
-		(uint64_t)pause_us);
+	    (bf_time_us_t)(bf_place_random(&mesh->random) % (uint64_t)pause_us);
 }
 
 static void
@@ -211,12 +209,12 @@
 	if (mesh->budget_count == BF_SERVICES_MAX)
 		return NULL;
 	entry = &mesh->budgets[mesh->budget_count++];
-	(void)snprintf(
-	    entry->service, sizeof(entry->service), "%s", service);
+	(void)snprintf(entry->service, sizeof(entry->service), "%s", service);
 	part = BUDGET_SHARE_PART * mesh->options.retry_share_ppm;
-	burst = BUDGET_BURST_PART * mesh->options.retry_burst / mesh->peer_count;
-	bf_budget_init(&entry->budget, (uint32_t)part,
-	    burst < 1 ? 1 : (uint32_t)burst);
+	burst =
+	    BUDGET_BURST_PART * mesh->options.retry_burst / mesh->peer_count;
+	bf_budget_init(
+	    &entry->budget, (uint32_t)part, burst < 1 ? 1 : (uint32_t)burst);
 	return &entry->budget;
 }
 
@@ -310,7 +308,7 @@
 			.mean_us = state->load.mean_us,
 			.failing_ppm = state->load.failing_ppm,
 			.distance_us = peer->self ? 0
-			    : peer->near	  ? NEAR_US
+			    : peer->near          ? NEAR_US
 						  : FAR_US,
 			.near = peer->near,
 			.doubtful = peer->silent,
@@ -348,8 +346,8 @@
 }
 
 static void
-send_offer(bf_entry_call_t *call, bf_peer_t *peer, bool on_time,
-    bf_time_us_t now_us)
+send_offer(
+    bf_entry_call_t *call, bf_peer_t *peer, bool on_time, bf_time_us_t now_us)
 {
 	const bf_http_message_t *message = call->request->message;
 	bf_mesh_t *mesh = call->mesh;
@@ -379,13 +377,12 @@
 		bf_event(mesh->events, BF_EVENT_PLACED, now_us,
 		    "s:s,s:s,s:i,s:s,s:i,s:i,s:i,s:I,s:b", "call",
 		    call->request_id, "peer", peer->instance, "offer",
-		    (int)call->offers, "target", peer->state.target,
-		    "running", (int)peer->state.load.running, "waiting",
+		    (int)call->offers, "target", peer->state.target, "running",
+		    (int)peer->state.load.running, "waiting",
 		    (int)peer->state.load.waiting, "sent", (int)peer->sent,
 		    "load_age_us",
-		    (json_int_t)(peer->self
-			    ? 0
-			    : now_us - peer->link->heard_us),
+		    (json_int_t)(peer->self ? 0
+					    : now_us - peer->link->heard_us),
 		    "on_time", (int)on_time);
 	peer->sent++;
 	if (peer->self) {
@@ -418,16 +415,15 @@
 	if (count == 0 || call->offers == BF_OFFERS_MAX ||
 	    call->busy == BUSY_OFFERS_MAX) {
 		give_up(call,
-		    call->offers > 0 ? call->cause : BF_CAUSE_NO_PLACE,
-		    now_us);
+		    call->offers > 0 ? call->cause : BF_CAUSE_NO_PLACE, now_us);
 		return;
 	}
-	near_share = bf_bytes_count(&call->request->message->body) >
-		LONG_BODY_BYTES
+	near_share =
+	    bf_bytes_count(&call->request->message->body) > LONG_BODY_BYTES
 	    ? NEAR_SHARE_LONG
 	    : NEAR_SHARE;
-	near_us = (bf_time_us_t)(near_share *
-	    (double)(call->objective_us - now_us));
+	near_us =
+	    (bf_time_us_t)(near_share * (double)(call->objective_us - now_us));
 	chosen = bf_place_choose(places, count, near_us, &call->mesh->random);
 	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX;
 	send_offer(call, peers[chosen], on_time, now_us);
@@ -507,22 +503,20 @@
     bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
 {
 	if (reply->status < 500 || reply->starved ||
-	    !bf_route_repeatable(call->route) ||
-	    call->kept_status != 0 ||
+	    !bf_route_repeatable(call->route) || call->kept_status != 0 ||
 	    call->deadline_us - now_us < reply->spent_us ||
 	    !may_repeat(call, now_us))
 		return false;
 	call->kept_status = reply->status;
-	bf_bytes_add(&call->kept_fields, reply->fields,
-	    strlen(reply->fields) + 1);
+	bf_bytes_add(
+	    &call->kept_fields, reply->fields, strlen(reply->fields) + 1);
 	bf_bytes_add(&call->kept_body, reply->body, reply->body_bytes);
 	place(call, now_us);
 	return true;
 }
 
 static void
-take_answer(
-    bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
+take_answer(bf_entry_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_throttle_t *throttle = throttle_of(call->mesh, call->route);
 
@@ -535,10 +529,9 @@
 	if (repeat_failure(call, reply, now_us))
 		return;
 	log_end(call, reply->status,
-	    reply->status < 500 ? "answered" : "failed", BF_CAUSE_NONE,
-	    now_us);
-	finish(call, reply->status, reply->fields, reply->body,
-	    reply->body_bytes);
+	    reply->status < 500 ? "answered" : "failed", BF_CAUSE_NONE, now_us);
+	finish(
+	    call, reply->status, reply->fields, reply->body, reply->body_bytes);
 }
 
 void
@@ -577,8 +570,8 @@
 	if (peer->self)
 		bf_target_cancel(mesh, NULL, offer, now_us);
 	else if (peer->open)
-		bf_mesh_link_send(peer->link, BF_FRAME_CANCEL, offer, NULL,
-		    NULL, now_us);
+		bf_mesh_link_send(
+		    peer->link, BF_FRAME_CANCEL, offer, NULL, NULL, now_us);
 }
 
 void
@@ -638,8 +631,8 @@
 		    strcasecmp(name, dialect->expected_target) == 0 ||
 		    strcasecmp(name, dialect->caller_service) == 0)
 			continue;
-		bf_bytes_format(&call->head, "%s: %s\r\n", name,
-		    bf_http_value(message, i));
+		bf_bytes_format(
+		    &call->head, "%s: %s\r\n", name, bf_http_value(message, i));
 	}
 	bf_bytes_format(&call->head, "%s: %s\r\n", dialect->caller_service,
 	    call->mesh->service);
@@ -658,10 +651,9 @@
 		retry_after_field(mesh, 0, field, sizeof(field));
 	bf_metric_count(mesh->metrics.calls, "not-run", 1);
 	bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
-	bf_event(mesh->events, BF_EVENT_FINISHED, now_us,
-	    "s:s,s:i,s:s,s:s,s:I", "call", id != NULL ? id : "", "status",
-	    (int)status, "outcome", "not-run", "cause", bf_cause_name(cause),
-	    "config_version",
+	bf_event(mesh->events, BF_EVENT_FINISHED, now_us, "s:s,s:i,s:s,s:s,s:I",
+	    "call", id != NULL ? id : "", "status", (int)status, "outcome",
+	    "not-run", "cause", bf_cause_name(cause), "config_version",
 	    (json_int_t)(mesh->routing != NULL
 		    ? bf_routing_version(mesh->routing)
 		    : 0));
@@ -797,6 +789,6 @@
 		.head_us = HEAD_FIRST_US,
 		.idle_us = IDLE_FIRST_US,
 	};
-	return bf_http_server_open(&mesh->callers, mesh->loop,
-	    &mesh->options.callers, now_us, err);
+	return bf_http_server_open(
+	    &mesh->callers, mesh->loop, &mesh->options.callers, now_us, err);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -40,8 +40,8 @@
 	char service[BF_NAME_BYTES];
 	char version[BF_NAME_BYTES];
 	bf_target_state_t target_state;
-	bool stopping;       /* the node itself */
-	bool store_up;       /* it can write to the store */
+	bool stopping; /* the node itself */
+	bool store_up; /* it can write to the store */
 	uint64_t config_version;
 	bf_load_t load;
 } bf_node_state_t;
@@ -68,11 +68,11 @@
 	/* The connection that the peer dialled: its calls come from there. */
 	struct bf_inbound *inbound;
 
-	bool listed;              /* in the last list of the store */
-	bf_time_us_t missing_us;  /* since when neither listed nor open */
-	bool heard;               /* state is known */
+	bool listed;             /* in the last list of the store */
+	bf_time_us_t missing_us; /* since when neither listed nor open */
+	bool heard;              /* state is known */
 	bf_node_state_t state;
-	uint32_t sent;            /* calls since the last report */
+	uint32_t sent; /* calls since the last report */
 	bf_time_us_t asked_config_us;
 
 	/* Runs of its target; what was there when a move began. */
@@ -100,21 +100,21 @@
 /* Why a call was refused or lost; names in bf_cause_name. */
 typedef enum bf_cause {
 	BF_CAUSE_NONE,
-	BF_CAUSE_BUSY,        /* it would not be done in time here */
-	BF_CAUSE_DRAINING,    /* the target or its node leaves */
-	BF_CAUSE_NO_TARGET,   /* no or another target is here */
-	BF_CAUSE_EXPIRED,     /* its time was over before it was sent */
-	BF_CAUSE_CONNECT,     /* no connection to the target */
-	BF_CAUSE_REJECTED,    /* the target says that it did not run it */
-	BF_CAUSE_BROKEN,      /* the connection ended before the answer */
-	BF_CAUSE_BAD_ANSWER,  /* what came is not its answer */
-	BF_CAUSE_TIMEOUT,     /* no answer in time */
-	BF_CAUSE_PEER_LOST,   /* the connection between the nodes ended */
-	BF_CAUSE_NO_CONFIG,   /* no configuration is known */
+	BF_CAUSE_BUSY,       /* it would not be done in time here */
+	BF_CAUSE_DRAINING,   /* the target or its node leaves */
+	BF_CAUSE_NO_TARGET,  /* no or another target is here */
+	BF_CAUSE_EXPIRED,    /* its time was over before it was sent */
+	BF_CAUSE_CONNECT,    /* no connection to the target */
+	BF_CAUSE_REJECTED,   /* the target says that it did not run it */
+	BF_CAUSE_BROKEN,     /* the connection ended before the answer */
+	BF_CAUSE_BAD_ANSWER, /* what came is not its answer */
+	BF_CAUSE_TIMEOUT,    /* no answer in time */
+	BF_CAUSE_PEER_LOST,  /* the connection between the nodes ended */
+	BF_CAUSE_NO_CONFIG,  /* no configuration is known */
 	BF_CAUSE_NO_ROUTE,
-	BF_CAUSE_NO_PLACE,    /* no target of the service is known */
+	BF_CAUSE_NO_PLACE, /* no target of the service is known */
 	BF_CAUSE_MEMORY,
-	BF_CAUSE_STARVING,    /* runs of its route fail for want of room */
+	BF_CAUSE_STARVING, /* runs of its route fail for want of room */
 	BF_CAUSE_COUNT
 } bf_cause_t;
 
@@ -129,9 +129,9 @@
 	const void *body;
 	size_t body_bytes;
 	bf_time_us_t waited_us;
-	bf_time_us_t spent_us; /* at the target */
+	bf_time_us_t spent_us;    /* at the target */
 	bf_time_us_t expected_us; /* of a refusal: until there is room */
-	bool starved; /* a call that the run made found no room */
+	bool starved;             /* a call that the run made found no room */
 } bf_reply_t;
 
 /* A call as its entry gives it to the node beside a target. */
@@ -168,25 +168,25 @@
 	bf_heartbeat_t beat;
 	bf_target_state_t state;
 	bf_time_us_t heard_us;
-	bf_time_us_t warm_us;  /* cold until then */
-	bf_time_us_t down_us;  /* not tried until then, after a refusal */
-	bool left;             /* it said that it goes, for good */
+	bf_time_us_t warm_us; /* cold until then */
+	bf_time_us_t down_us; /* not tried until then, after a refusal */
+	bool left;            /* it said that it goes, for good */
 	bf_http_client_t client;
 	bf_waiting_t waiting;
 	bf_route_work_t works[BF_ROUTE_WORKS];
 	uint32_t work_count;
-	double failing;        /* share of recent runs that failed */
+	double failing;          /* share of recent runs that failed */
 	bf_time_us_t failing_us; /* when that was brought up to date */
 	bf_run_tallies_t runs;
-	bf_timer_t expiry;     /* of waiting calls */
-	bf_job_t *jobs;        /* of callers of this very node */
+	bf_timer_t expiry; /* of waiting calls */
+	bf_job_t *jobs;    /* of callers of this very node */
 } bf_own_target_t;
 
 typedef struct bf_known_move {
 	bf_move_t move;
-	bool ordered;          /* its order was read, or told by a peer */
+	bool ordered;              /* its order was read, or told by a peer */
 	uint64_t outcome_revision; /* of its key in the store; 0: none */
-	bf_move_state_t stored; /* as the store has it */
+	bf_move_state_t stored;    /* as the store has it */
 	bool has_stored;
 	char stored_version[BF_NAME_BYTES];
 	bool writing;
@@ -215,11 +215,11 @@
 } bf_service_budget_t;
 
 typedef struct bf_mesh_metrics {
-	bf_family_t *calls;       /* by outcome */
-	bf_family_t *causes;      /* of calls that were not answered */
-	bf_family_t *latency;     /* by service */
-	bf_family_t *offers;      /* by result */
-	bf_family_t *runs;        /* at the own target, by result */
+	bf_family_t *calls;   /* by outcome */
+	bf_family_t *causes;  /* of calls that were not answered */
+	bf_family_t *latency; /* by service */
+	bf_family_t *offers;  /* by result */
+	bf_family_t *runs;    /* at the own target, by result */
 	bf_family_t *waited;
 	bf_family_t *spent;
 	bf_family_t *repeats;     /* by result */
@@ -324,10 +324,10 @@
     const char *from, bf_time_us_t now_us);
 
 /* mesh/movement.c: moves of this mesh. */
-void bf_movement_order(bf_mesh_t *mesh, const bf_kv_item_t *item,
-    bf_time_us_t now_us);
-void bf_movement_outcome(bf_mesh_t *mesh, const bf_kv_item_t *item,
-    bf_time_us_t now_us);
+void bf_movement_order(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us);
+void bf_movement_outcome(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_movement_tell(
     bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
@@ -355,8 +355,8 @@
 void bf_target_offer(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_offer_t *offer, bf_time_us_t now_us);
 /* from NULL: this very node. */
-void bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer,
-    bf_time_us_t now_us);
+void bf_target_cancel(
+    bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer, bf_time_us_t now_us);
 void bf_target_lost(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -118,8 +118,8 @@
 		return;
 	}
 	bf_bytes_add(&link->in, data, bytes);
-	used = read_frames(link, bf_bytes_at(&link->in),
-	    bf_bytes_count(&link->in), now_us);
+	used = read_frames(
+	    link, bf_bytes_at(&link->in), bf_bytes_count(&link->in), now_us);
 	if (used == SIZE_MAX || link->in.failed)
 		fault(link, now_us);
 	else if (bf_tcp_is_open(tcp))
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -37,8 +37,8 @@
 
 typedef struct bf_mesh_link_vtable {
 	void (*opened)(bf_mesh_link_t *link, bf_time_us_t now_us);
-	void (*frame)(bf_mesh_link_t *link, const bf_frame_t *frame,
-	    bf_time_us_t now_us);
+	void (*frame)(
+	    bf_mesh_link_t *link, const bf_frame_t *frame, bf_time_us_t now_us);
 	void (*ended)(bf_mesh_link_t *link, bf_time_us_t now_us);
 } bf_mesh_link_vtable_t;
 
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -18,12 +18,12 @@
 
 	m->calls = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_calls_total",
 	    "Calls that entered here, by outcome", "outcome");
-	m->causes = bf_metrics_add(set, BF_METRIC_COUNTER,
-	    "bf_calls_unserved_total",
-	    "Calls that got no answer of a target, by cause", "cause");
-	m->latency = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
-	    "bf_call_microseconds", "From the request's head to the answer",
-	    "service");
+	m->causes =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_calls_unserved_total",
+		"Calls that got no answer of a target, by cause", "cause");
+	m->latency =
+	    bf_metrics_add(set, BF_METRIC_HISTOGRAM, "bf_call_microseconds",
+		"From the request's head to the answer", "service");
 	m->offers = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_offers_total",
 	    "Offers of calls to nodes beside targets, by result", "result");
 	m->runs = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_runs_total",
@@ -34,9 +34,9 @@
 	    "bf_target_microseconds", "Time of a call at the target", NULL);
 	m->repeats = bf_metrics_add(set, BF_METRIC_COUNTER, "bf_repeats_total",
 	    "Repeats of calls that a target may have run", "result");
-	m->store_calls = bf_metrics_add(set, BF_METRIC_COUNTER,
-	    "bf_store_calls_total", "Calls to the store, by kind or failure",
-	    "result");
+	m->store_calls =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_store_calls_total",
+		"Calls to the store, by kind or failure", "result");
 	m->peers = bf_metrics_add(
 	    set, BF_METRIC_GAUGE, "bf_peers", "Other nodes, by state", "state");
 	m->config = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_config",
@@ -57,8 +57,7 @@
 	bf_mesh_t *mesh;
 
 	mesh = calloc(1, sizeof(*mesh));
-	if (mesh == NULL ||
-	    apr_pool_create(&mesh->pool, NULL) != APR_SUCCESS) {
+	if (mesh == NULL || apr_pool_create(&mesh->pool, NULL) != APR_SUCCESS) {
 		free(mesh);
 		bf_error_set(err, BF_ERR_MEMORY, "no memory for a node");
 		return NULL;
@@ -69,8 +68,7 @@
 	mesh->kv = kv;
 	mesh->events = events;
 	mesh->incarnation = (uint64_t)bf_clock_wall_us();
-	mesh->random =
-	    bf_hash_text(options->instance, mesh->incarnation) | 1;
+	mesh->random = bf_hash_text(options->instance, mesh->incarnation) | 1;
 	mesh->calls = apr_hash_make(mesh->pool);
 	mesh->callers.listener.source.fd = -1;
 	mesh->listener.source.fd = -1;
@@ -155,8 +153,8 @@
 }
 
 void
-bf_mesh_stop(bf_mesh_t *mesh, void (*stopped)(void *ctx), void *ctx,
-    bf_time_us_t now_us)
+bf_mesh_stop(
+    bf_mesh_t *mesh, void (*stopped)(void *ctx), void *ctx, bf_time_us_t now_us)
 {
 	if (mesh->stopping)
 		return;
@@ -202,12 +200,11 @@
 	bf_metric_set(m->queue, "waiting", mesh->target.waiting.count);
 	bf_metric_set(m->queue, "slots", mesh->target.waiting.slots);
 	bf_metric_set(m->connections, "callers", mesh->callers.conn_count);
-	bf_metric_set(
-	    m->connections, "target", mesh->target.client.link_count);
+	bf_metric_set(m->connections, "target", mesh->target.client.link_count);
 	if (mesh->events != NULL) {
-		bf_metric_set(m->log_lines, "written",
-		    bf_events_written(mesh->events));
-		bf_metric_set(m->log_lines, "dropped",
-		    bf_events_dropped(mesh->events));
+		bf_metric_set(
+		    m->log_lines, "written", bf_events_written(mesh->events));
+		bf_metric_set(
+		    m->log_lines, "dropped", bf_events_dropped(mesh->events));
 	}
 }
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -24,15 +24,15 @@
 typedef struct bf_mesh_options {
 	const char *instance; /* unique name of this instance */
 	const char *zone;
-	const char *service; /* of the target that belongs here */
+	const char *service;        /* of the target that belongs here */
 	struct sockaddr_in callers; /* listens for callers here */
 	struct sockaddr_in peers;   /* listens for other nodes here */
 	struct sockaddr_in target;  /* where the target listens */
 	uint32_t heartbeat_ms;      /* between heartbeats of the target */
 	uint32_t stop_ms;           /* from the signal to a forced end */
 	uint32_t retry_share_ppm;   /* repeats to calls, of the whole mesh */
-	uint32_t retry_burst; /* repeats beyond that, of the whole mesh */
-	uint32_t connections_max; /* of callers */
+	uint32_t retry_burst;       /* repeats beyond that, of the whole mesh */
+	uint32_t connections_max;   /* of callers */
 } bf_mesh_options_t;
 
 /* What the target beside this node says of itself. */
--- a/mesh/move.c
+++ b/mesh/move.c
@@ -11,7 +11,7 @@
  */
 typedef struct bf_rung {
 	uint32_t share_ppm;
-	double until; /* of the move's duration */
+	double until;      /* of the move's duration */
 	uint32_t runs_min; /* of the new version before the next rung */
 } bf_rung_t;
 
@@ -134,9 +134,8 @@
 	if (now->failures < FAILURES_MIN)
 		return false;
 	/* Laplace's rule: a few runs without a failure prove no zero. */
-	old_rate = before != NULL
-	    ? rate(before->failures + 1, before->runs + 2)
-	    : 0;
+	old_rate =
+	    before != NULL ? rate(before->failures + 1, before->runs + 2) : 0;
 	new_rate = rate(now->failures, now->runs);
 	deviation = sqrt(old_rate * (1 - old_rate) / now->runs);
 	return new_rate > old_rate + FAILURE_EXCESS + DEVIATIONS * deviation;
@@ -236,8 +235,7 @@
 }
 
 bf_move_change_t
-bf_move_step(
-    bf_move_t *move, const bf_move_view_t *view, bf_time_us_t now_us)
+bf_move_step(bf_move_t *move, const bf_move_view_t *view, bf_time_us_t now_us)
 {
 	uint32_t share_ppm;
 
--- a/mesh/move.h
+++ b/mesh/move.h
@@ -82,8 +82,8 @@
 	bf_time_us_t began_us;   /* monotonic, of this process */
 	bf_time_us_t duration_us;
 	bf_move_state_t state;
-	uint32_t share_ppm; /* of the calls that go to the new version */
-	bf_time_us_t step_us;    /* when share_ppm was set */
+	uint32_t share_ppm;   /* of the calls that go to the new version */
+	bf_time_us_t step_us; /* when share_ppm was set */
 	char reason[BF_MOVE_REASON_BYTES]; /* of the last change */
 } bf_move_t;
 
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -47,16 +47,15 @@
 }
 
 static void
-log_move(const bf_known_move_t *known, const char *change,
-    bf_time_us_t now_us)
+log_move(const bf_known_move_t *known, const char *change, bf_time_us_t now_us)
 {
 	const bf_move_t *move = &known->move;
 
 	bf_event(known->mesh->events, BF_EVENT_MOVE, now_us,
 	    "s:s,s:s,s:s,s:s,s:i,s:s", "service", move->service, "version",
 	    move->version, "change", change, "state",
-	    bf_move_state_name(move->state), "share_ppm",
-	    (int)move->share_ppm, "reason", move->reason);
+	    bf_move_state_name(move->state), "share_ppm", (int)move->share_ppm,
+	    "reason", move->reason);
 }
 
 /* The stored outcome of this very move is final. */
@@ -71,8 +70,7 @@
 	    move->state != BF_MOVE_ACTIVE)
 		return;
 	move->state = known->stored;
-	move->share_ppm =
-	    known->stored == BF_MOVE_COMPLETED ? BF_SHARE_ALL : 0;
+	move->share_ppm = known->stored == BF_MOVE_COMPLETED ? BF_SHARE_ALL : 0;
 	log_move(known, "outcome read", now_us);
 }
 
@@ -87,8 +85,8 @@
 	if (item->deleted ||
 	    mesh->dialect->decode_outcome(
 		item->data, item->data_bytes, &outcome, &err) != BF_OK) {
-		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s",
-		    "key", item->key);
+		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s", "key",
+		    item->key);
 		return;
 	}
 	known = find_or_add(mesh, outcome.service);
@@ -101,8 +99,8 @@
 	    "%s", outcome.version);
 	if (!known->ordered) {
 		/* Its order may be gone by now; the outcome still holds. */
-		(void)snprintf(known->move.version,
-		    sizeof(known->move.version), "%s", outcome.version);
+		(void)snprintf(known->move.version, sizeof(known->move.version),
+		    "%s", outcome.version);
 		known->move.state = outcome.state;
 		known->move.share_ppm =
 		    outcome.state == BF_MOVE_COMPLETED ? BF_SHARE_ALL : 0;
@@ -179,8 +177,8 @@
 		if (mesh->moves[i].move.order_revision == 0)
 			continue;
 		write_move(&mesh->writer, &mesh->moves[i].move);
-		bf_mesh_link_send(link, BF_FRAME_MOVE, 0, &mesh->writer, NULL,
-		    now_us);
+		bf_mesh_link_send(
+		    link, BF_FRAME_MOVE, 0, &mesh->writer, NULL, now_us);
 	}
 }
 
@@ -195,8 +193,8 @@
 		if (peer->self || !peer->open)
 			continue;
 		write_move(&mesh->writer, &known->move);
-		bf_mesh_link_send(peer->link, BF_FRAME_MOVE, 0, &mesh->writer,
-		    NULL, now_us);
+		bf_mesh_link_send(
+		    peer->link, BF_FRAME_MOVE, 0, &mesh->writer, NULL, now_us);
 	}
 }
 
@@ -231,8 +229,8 @@
 	if (!newer)
 		heard.began_us = known->move.began_us;
 	heard.step_us = differs ? now_us : known->move.step_us;
-	(void)snprintf(heard.reason, sizeof(heard.reason), "told by %s",
-	    peer->instance);
+	(void)snprintf(
+	    heard.reason, sizeof(heard.reason), "told by %s", peer->instance);
 	known->move = heard;
 	known->ordered = true;
 	if (differs)
@@ -324,8 +322,7 @@
 }
 
 static void
-on_written(
-    bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+on_written(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_known_move_t *known = BF_CONTAINER(call, bf_known_move_t, write);
 	bf_mesh_t *mesh = known->mesh;
@@ -366,8 +363,8 @@
 		return;
 	memcpy(outcome.service, move->service, sizeof(outcome.service));
 	memcpy(outcome.version, move->version, sizeof(outcome.version));
-	(void)snprintf(key, sizeof(key), "%s%s",
-	    mesh->dialect->outcome_prefix, move->service);
+	(void)snprintf(key, sizeof(key), "%s%s", mesh->dialect->outcome_prefix,
+	    move->service);
 	mesh->dialect->encode_outcome(&outcome, &data);
 	write = (bf_kv_write_t){
 		.key = key,
@@ -436,8 +433,7 @@
 			continue;
 		known->judged_us = now_us;
 		if (known->move.state == BF_MOVE_ACTIVE &&
-		    strcmp(known->move.service, mesh->target.beat.service) ==
-			0)
+		    strcmp(known->move.service, mesh->target.beat.service) == 0)
 			tell_runs(mesh, now_us);
 		if (leading)
 			lead(known, now_us);
@@ -482,8 +478,7 @@
 }
 
 int
-bf_movement_choose(
-    bf_mesh_t *mesh, const char *service, const char **version)
+bf_movement_choose(bf_mesh_t *mesh, const char *service, const char **version)
 {
 	const bf_known_move_t *known;
 
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -45,8 +45,7 @@
 
 	own_key(mesh, key, sizeof(key));
 	entry = json_pack("{s:s,s:s,s:I}", "address", self->address_text,
-	    "zone", self->zone, "incarnation",
-	    (json_int_t)self->incarnation);
+	    "zone", self->zone, "incarnation", (json_int_t)self->incarnation);
 	write.data_bytes = json_dumpb(entry, data, sizeof(data), JSON_COMPACT);
 	json_decref(entry);
 	mesh->kv->vtable->write(
@@ -99,8 +98,8 @@
 		if (peer != NULL && peer->self)
 			mesh->member_revision = item->revision;
 	} else {
-		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s",
-		    "key", item->key);
+		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s", "key",
+		    item->key);
 	}
 	json_decref(entry);
 }
@@ -118,8 +117,8 @@
 	for (i = 0; i < reply->item_count; i++)
 		take_entry(mesh, &reply->items[i], now_us);
 	if (reply->more && reply->item_count > 0) {
-		(void)snprintf(mesh->list_after, sizeof(mesh->list_after),
-		    "%s", reply->items[reply->item_count - 1].key);
+		(void)snprintf(mesh->list_after, sizeof(mesh->list_after), "%s",
+		    reply->items[reply->item_count - 1].key);
 		next_call(mesh, now_us);
 		return;
 	}
@@ -239,8 +238,8 @@
 	bf_metric_count(mesh->metrics.store_calls,
 	    code == BF_OK ? what : bf_code_name(code), 1);
 	if (code != BF_OK)
-		bf_event(mesh->events, BF_EVENT_STORE_CALL, now_us, "s:s,s:s,s:I",
-		    "call", what, "result", bf_code_name(code),
+		bf_event(mesh->events, BF_EVENT_STORE_CALL, now_us,
+		    "s:s,s:s,s:I", "call", what, "result", bf_code_name(code),
 		    "watched_revision", (json_int_t)mesh->follow.revision);
 	up = code != BF_ERR_UNAVAILABLE && code != BF_ERR_UNSETTLED &&
 	    code != BF_ERR_TIMEOUT && code != BF_ERR_LIMIT;
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -97,8 +97,8 @@
 	bf_wire_read_text(reader, state->target, sizeof(state->target));
 	bf_wire_read_text(reader, state->service, sizeof(state->service));
 	bf_wire_read_text(reader, state->version, sizeof(state->version));
-	state->target_state = (bf_target_state_t)bf_wire_read_uint(
-	    reader, BF_TARGET_DRAINING);
+	state->target_state =
+	    (bf_target_state_t)bf_wire_read_uint(reader, BF_TARGET_DRAINING);
 	state->stopping = bf_wire_read_uint(reader, 1) != 0;
 	state->store_up = bf_wire_read_uint(reader, 1) != 0;
 	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
@@ -110,8 +110,7 @@
     bf_time_us_t now_us)
 {
 	write_state(&mesh->writer, state);
-	bf_mesh_link_send(
-	    link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
+	bf_mesh_link_send(link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
 }
 
 static bool
@@ -195,8 +194,7 @@
 }
 
 static void
-take_state(
-    bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
+take_state(bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
 {
 	bool changed = !peer->heard || !same_identity(&peer->state, state);
 
@@ -207,24 +205,22 @@
 		    "s:s,s:s,s:s,s:s,s:i,s:b,s:I", "peer", peer->instance,
 		    "target", state->target, "service", state->service,
 		    "version", state->version, "target_state",
-		    (int)state->target_state, "stopping",
-		    (int)state->stopping, "config_version",
-		    (json_int_t)state->config_version);
+		    (int)state->target_state, "stopping", (int)state->stopping,
+		    "config_version", (json_int_t)state->config_version);
 	peer->heard = true;
 	ask_config(peer, now_us);
 }
 
 static void
-take_answer(bf_peer_t *peer, const bf_frame_t *frame,
-    bf_wire_reader_t *reader, bf_time_us_t now_us)
+take_answer(bf_peer_t *peer, const bf_frame_t *frame, bf_wire_reader_t *reader,
+    bf_time_us_t now_us)
 {
 	bf_reply_t reply = { 0 };
 	char fields[16384];
 	bf_load_t load;
 
 	reply.end = (bf_call_end_t)bf_wire_read_uint(reader, BF_END_UNKNOWN);
-	reply.cause =
-	    (bf_cause_t)bf_wire_read_uint(reader, BF_CAUSE_COUNT - 1);
+	reply.cause = (bf_cause_t)bf_wire_read_uint(reader, BF_CAUSE_COUNT - 1);
 	reply.status = (uint32_t)bf_wire_read_uint(reader, 999);
 	reply.waited_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
 	reply.spent_us = (bf_time_us_t)bf_wire_read_uint(reader, INT64_MAX);
@@ -256,8 +252,7 @@
 	bf_wire_write_uint(writer, (uint64_t)reply->expected_us);
 	bf_wire_write_uint(writer, reply->starved);
 	bf_wire_write_load(writer, load);
-	bf_wire_write_text(
-	    writer, reply->fields != NULL ? reply->fields : "");
+	bf_wire_write_text(writer, reply->fields != NULL ? reply->fields : "");
 }
 
 /* A frame on a connection that this node dialled. */
@@ -354,8 +349,7 @@
 	bf_wire_write_text(&mesh->writer, self->zone);
 	bf_wire_write_text(&mesh->writer, self->address_text);
 	bf_wire_write_uint(&mesh->writer, self->incarnation);
-	bf_mesh_link_send(
-	    link, BF_FRAME_HELLO, 0, &mesh->writer, NULL, now_us);
+	bf_mesh_link_send(link, BF_FRAME_HELLO, 0, &mesh->writer, NULL, now_us);
 }
 
 static const bf_mesh_link_vtable_t peer_vtable = {
@@ -399,8 +393,7 @@
 	peer = calloc(1, sizeof(*peer));
 	if (peer == NULL)
 		return NULL;
-	(void)snprintf(
-	    peer->instance, sizeof(peer->instance), "%s", instance);
+	(void)snprintf(peer->instance, sizeof(peer->instance), "%s", instance);
 	peer->mesh = mesh;
 	peer->redial.fire = on_redial;
 	for (last = &mesh->peers; *last != NULL; last = &(*last)->next)
@@ -487,8 +480,7 @@
 }
 
 static void
-take_hello(
-    bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us)
+take_hello(bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us)
 {
 	char instance[BF_NAME_BYTES], zone[BF_NAME_BYTES];
 	char address[BF_ADDRESS_BYTES];
@@ -503,8 +495,8 @@
 	incarnation = bf_wire_read_uint(reader, UINT64_MAX);
 	if (reader->code != BF_OK)
 		return;
-	peer = bf_roster_add(mesh, instance, zone, address, incarnation,
-	    now_us);
+	peer =
+	    bf_roster_add(mesh, instance, zone, address, incarnation, now_us);
 	if (peer == NULL || peer->self)
 		return;
 	inbound->peer = peer;
@@ -567,11 +559,10 @@
 	    (uint64_t)offer->inner | (uint64_t)offer->repeatable << 1 |
 		(uint64_t)offer->on_time << 2 |
 		(uint64_t)offer->head_request << 3 |
-		(uint64_t)offer->has_body << 4 |
-		(uint64_t)offer->repeat << 5);
+		(uint64_t)offer->has_body << 4 | (uint64_t)offer->repeat << 5);
 	bf_wire_write_uint(writer, offer->priority);
-	bf_wire_write_uint(writer,
-	    (uint64_t)(offer->left_us > 0 ? offer->left_us : 0));
+	bf_wire_write_uint(
+	    writer, (uint64_t)(offer->left_us > 0 ? offer->left_us : 0));
 	bf_wire_write_uint(writer,
 	    (uint64_t)(offer->objective_left_us > 0 ? offer->objective_left_us
 						    : 0));
@@ -606,8 +597,7 @@
 		break;
 	case BF_FRAME_MOVE:
 		if (inbound->peer != NULL)
-			bf_movement_heard(
-			    mesh, inbound->peer, &reader, now_us);
+			bf_movement_heard(mesh, inbound->peer, &reader, now_us);
 		break;
 	default:
 		break; /* of a later version of the protocol */
@@ -722,10 +712,9 @@
 	self->address = mesh->options.peers;
 	(void)snprintf(
 	    self->zone, sizeof(self->zone), "%s", mesh->options.zone);
-	(void)inet_ntop(
-	    AF_INET, &self->address.sin_addr, ip, sizeof(ip));
-	(void)snprintf(self->address_text, sizeof(self->address_text),
-	    "%s:%u", ip, (unsigned int)bf_listener_port(&mesh->listener));
+	(void)inet_ntop(AF_INET, &self->address.sin_addr, ip, sizeof(ip));
+	(void)snprintf(self->address_text, sizeof(self->address_text), "%s:%u",
+	    ip, (unsigned int)bf_listener_port(&mesh->listener));
 	return BF_OK;
 }
 
--- a/mesh/routing.c
+++ b/mesh/routing.c
@@ -65,8 +65,7 @@
 }
 
 void
-bf_routing_add_service(
-    bf_routing_t *routing, const bf_mesh_service_t *service)
+bf_routing_add_service(bf_routing_t *routing, const bf_mesh_service_t *service)
 {
 	APR_ARRAY_PUSH(routing->services, bf_mesh_service_t) = *service;
 }
@@ -78,8 +77,7 @@
 }
 
 void
-bf_routing_set_limits(
-    bf_routing_t *routing, const bf_caller_limits_t *limits)
+bf_routing_set_limits(bf_routing_t *routing, const bf_caller_limits_t *limits)
 {
 	routing->limits = *limits;
 }
@@ -100,8 +98,8 @@
 }
 
 static bf_code_t
-check_parts(const bf_routing_t *routing, const bf_mesh_route_t *route,
-    bf_error_t *err)
+check_parts(
+    const bf_routing_t *routing, const bf_mesh_route_t *route, bf_error_t *err)
 {
 	uint64_t weights = 0;
 	uint32_t i;
@@ -122,8 +120,8 @@
 }
 
 static bf_code_t
-check_route(const bf_routing_t *routing, const bf_mesh_route_t *route,
-    bf_error_t *err)
+check_route(
+    const bf_routing_t *routing, const bf_mesh_route_t *route, bf_error_t *err)
 {
 	size_t bytes = strlen(route->prefix);
 
@@ -139,8 +137,8 @@
 		    route->name, route->timeout_ms, TIMEOUT_MS_MAX);
 	if (route->attempts == 0 || route->attempts > ATTEMPTS_MAX)
 		return bf_error_set(err, BF_ERR_RANGE,
-		    "route \"%s\" allows %u attempts, not 1 to %u",
-		    route->name, route->attempts, ATTEMPTS_MAX);
+		    "route \"%s\" allows %u attempts, not 1 to %u", route->name,
+		    route->attempts, ATTEMPTS_MAX);
 	return check_parts(routing, route, err);
 }
 
@@ -164,12 +162,11 @@
 		if (code != BF_OK)
 			return code;
 		key = key_of(routing->pool, route);
-		if (apr_hash_get(
-			routing->by_key, key, APR_HASH_KEY_STRING) != NULL)
+		if (apr_hash_get(routing->by_key, key, APR_HASH_KEY_STRING) !=
+		    NULL)
 			return bf_error_set(err, BF_ERR_CONFLICT,
 			    "two routes have host and prefix \"%s\"", key);
-		apr_hash_set(
-		    routing->by_key, key, APR_HASH_KEY_STRING, route);
+		apr_hash_set(routing->by_key, key, APR_HASH_KEY_STRING, route);
 	}
 	return BF_OK;
 }
--- a/mesh/routing.h
+++ b/mesh/routing.h
@@ -68,8 +68,7 @@
 /* Copied, but for the texts, which must be of the pool. */
 void bf_routing_add_service(
     bf_routing_t *routing, const bf_mesh_service_t *service);
-void bf_routing_add_route(
-    bf_routing_t *routing, const bf_mesh_route_t *route);
+void bf_routing_add_route(bf_routing_t *routing, const bf_mesh_route_t *route);
 void bf_routing_set_limits(
     bf_routing_t *routing, const bf_caller_limits_t *limits);
 
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -52,8 +52,8 @@
 	    BF_OK) {
 		bf_event(mesh->events, BF_EVENT_CONFIG_BAD, now_us,
 		    "s:s,s:s,s:s,s:I", "from", from, "error",
-		    bf_code_name(err.code), "message", err.message,
-		    "bytes", (json_int_t)bytes);
+		    bf_code_name(err.code), "message", err.message, "bytes",
+		    (json_int_t)bytes);
 		return;
 	}
 	version = bf_routing_version(routing);
@@ -89,12 +89,11 @@
 static void
 on_called(bf_follow_t *follow, bf_code_t code, bf_time_us_t now_us)
 {
-	bf_mesh_store_called(BF_CONTAINER(follow, bf_mesh_t, follow),
-	    "operator", code, now_us);
+	bf_mesh_store_called(
+	    BF_CONTAINER(follow, bf_mesh_t, follow), "operator", code, now_us);
 	/* More nodes by now, perhaps. */
 	follow->wait_ms = WATCH_MS_MIN +
-	    BF_CONTAINER(follow, bf_mesh_t, follow)->peer_count *
-		WATCH_PEER_MS;
+	    BF_CONTAINER(follow, bf_mesh_t, follow)->peer_count * WATCH_PEER_MS;
 	if (follow->wait_ms > WATCH_MS_MAX)
 		follow->wait_ms = WATCH_MS_MAX;
 }
@@ -126,8 +125,7 @@
 }
 
 static void
-on_outcomes(
-    bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+on_outcomes(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = BF_CONTAINER(call, bf_mesh_t, outcomes_call);
 	size_t i;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -223,7 +223,8 @@
 	};
 
 	bf_metric_count(mesh->metrics.runs, bf_cause_name(cause), 1);
-	if (reply.waited_us > 0 || bf_events_sampled(mesh->events, job->request_id))
+	if (reply.waited_us > 0 ||
+	    bf_events_sampled(mesh->events, job->request_id))
 		bf_event(mesh->events, BF_EVENT_REFUSED, now_us,
 		    "s:s,s:s,s:s,s:I,s:i,s:i,s:I,s:I", "call", job->request_id,
 		    "route", job->route, "cause", bf_cause_name(cause),
@@ -240,7 +241,8 @@
 {
 	target->failing = failing_now(target, now_us);
 	target->failing_us = now_us;
-	target->failing += FAILING_WEIGHT * ((failed ? 1 : 0) - target->failing);
+	target->failing +=
+	    FAILING_WEIGHT * ((failed ? 1 : 0) - target->failing);
 }
 
 /* What a run showed of the target, for placing and for moves. */
@@ -317,10 +319,9 @@
 	bf_event(mesh->events, BF_EVENT_RAN, now_us,
 	    "s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i", "call", job->request_id,
 	    "route", job->route, "target", mesh->target.beat.id, "version",
-	    mesh->target.beat.version, "result", result, "status",
-	    (int)status, "waited_us",
-	    (json_int_t)(job->sent_us - job->arrived_us), "spent_us",
-	    (json_int_t)(now_us - job->sent_us), "running",
+	    mesh->target.beat.version, "result", result, "status", (int)status,
+	    "waited_us", (json_int_t)(job->sent_us - job->arrived_us),
+	    "spent_us", (json_int_t)(now_us - job->sent_us), "running",
 	    (int)mesh->target.waiting.running);
 }
 
@@ -562,8 +563,8 @@
 		    .work_us = expected_work_us(&mesh->target, offer->route),
 		},
 	};
-	(void)snprintf(job->request_id, sizeof(job->request_id), "%s",
-	    offer->request_id);
+	(void)snprintf(
+	    job->request_id, sizeof(job->request_id), "%s", offer->request_id);
 	(void)snprintf(job->route, sizeof(job->route), "%s", offer->route);
 	list = from != NULL ? &from->jobs : &mesh->target.jobs;
 	job->next = *list;
@@ -603,8 +604,8 @@
 		refuse(job, cause, now_us);
 		return;
 	}
-	switch (bf_waiting_ask(&mesh->target.waiting, &job->waiter,
-	    offer->on_time, now_us)) {
+	switch (bf_waiting_ask(
+	    &mesh->target.waiting, &job->waiter, offer->on_time, now_us)) {
 	case BF_ASK_REFUSE:
 		refuse(job, BF_CAUSE_BUSY, now_us);
 		return;
@@ -614,8 +615,8 @@
 	case BF_ASK_GO:
 		break;
 	}
-	bf_bytes_add(&job->head, bf_bytes_at(offer->head),
-	    bf_bytes_count(offer->head));
+	bf_bytes_add(
+	    &job->head, bf_bytes_at(offer->head), bf_bytes_count(offer->head));
 	bf_bytes_add(&job->body, offer->body, offer->body_bytes);
 	if (!job->waiting)
 		send_job(job, now_us);
@@ -648,8 +649,8 @@
 }
 
 void
-bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer,
-    bf_time_us_t now_us)
+bf_target_cancel(
+    bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer, bf_time_us_t now_us)
 {
 	bf_job_t *job;
 
@@ -673,15 +674,15 @@
 	bf_own_target_t *target = &mesh->target;
 	bf_time_us_t patience_us;
 
-	patience_us = HEARTBEATS_MISSED * mesh->options.heartbeat_ms *
-		BF_US_PER_MS +
+	patience_us =
+	    HEARTBEATS_MISSED * mesh->options.heartbeat_ms * BF_US_PER_MS +
 	    HEARTBEAT_SLACK_US;
 	if (target->state == BF_TARGET_ABSENT ||
 	    now_us - target->heard_us < patience_us)
 		return;
 	target->state = BF_TARGET_ABSENT;
-	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s,s:I",
-	    "target", target->beat.id, "change", "silent", "age_us",
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s,s:I", "target",
+	    target->beat.id, "change", "silent", "age_us",
 	    (json_int_t)(now_us - target->heard_us));
 	bf_roster_tell(mesh, now_us);
 }
@@ -771,8 +772,7 @@
 	    "s:s,s:s,s:s,s:s,s:i,s:I,s:I", "target", beat->id, "change",
 	    beat->draining ? "draining" : "ready", "service", beat->service,
 	    "version", beat->version, "slots", (int)beat->slots, "sequence",
-	    (json_int_t)beat->sequence, "born_ms",
-	    (json_int_t)beat->born_ms);
+	    (json_int_t)beat->sequence, "born_ms", (json_int_t)beat->born_ms);
 	bf_roster_tell(mesh, now_us);
 	return BF_OK;
 }
@@ -787,8 +787,8 @@
 	target->left = true;
 	if (target->state == BF_TARGET_READY)
 		target->state = BF_TARGET_DRAINING;
-	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
-	    id, "change", "leaves");
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target", id,
+	    "change", "leaves");
 	bf_roster_tell(mesh, now_us);
 }
 
--- a/mesh/throttle.c
+++ b/mesh/throttle.c
@@ -50,8 +50,7 @@
 }
 
 bool
-bf_throttle_refuses(
-    bf_throttle_t *throttle, double random, bf_time_us_t now_us)
+bf_throttle_refuses(bf_throttle_t *throttle, double random, bf_time_us_t now_us)
 {
 	step(throttle, now_us);
 	return random < throttle->share;
--- a/mesh/throttle.h
+++ b/mesh/throttle.h
@@ -16,7 +16,7 @@
  * of the runs starve and shrinks when none does.
  */
 typedef struct bf_throttle {
-	double share; /* of the calls that are refused */
+	double share;  /* of the calls that are refused */
 	uint32_t runs; /* ended since the last step */
 	uint32_t starved;
 	bf_time_us_t step_us;
--- a/mesh/waiting.c
+++ b/mesh/waiting.c
@@ -28,8 +28,7 @@
 
 /* Whether a goes before b. */
 static bool
-goes_before(
-    const bf_waiter_t *a, const bf_waiter_t *b, bf_time_us_t now_us)
+goes_before(const bf_waiter_t *a, const bf_waiter_t *b, bf_time_us_t now_us)
 {
 	bool a_late, b_late;
 
@@ -45,8 +44,8 @@
 }
 
 bf_time_us_t
-bf_waiting_expected_us(const bf_waiting_t *waiting, const bf_waiter_t *waiter,
-    bf_time_us_t now_us)
+bf_waiting_expected_us(
+    const bf_waiting_t *waiting, const bf_waiter_t *waiter, bf_time_us_t now_us)
 {
 	const bf_waiter_t *other;
 	double ahead_us = 0;
--- a/mesh/waiting.h
+++ b/mesh/waiting.h
@@ -24,8 +24,8 @@
 typedef struct bf_waiter bf_waiter_t;
 struct bf_waiter {
 	TAILQ_ENTRY(bf_waiter) link;
-	bool inner;        /* made by a target that waits for it */
-	uint32_t priority; /* 0 is the most urgent */
+	bool inner;                /* made by a target that waits for it */
+	uint32_t priority;         /* 0 is the most urgent */
 	bf_time_us_t objective_us; /* on time until then */
 	bf_time_us_t deadline_us;  /* useless afterwards */
 	bf_time_us_t give_up_us;   /* not started by then, it is refused */
@@ -37,9 +37,9 @@
 typedef struct bf_waiting {
 	uint32_t slots;
 	uint32_t running;
-	uint32_t count;  /* waiting */
-	double mean_us;  /* moving average of a call at the target */
-	bool measured;   /* mean_us is of calls, not a guess */
+	uint32_t count; /* waiting */
+	double mean_us; /* moving average of a call at the target */
+	bool measured;  /* mean_us is of calls, not a guess */
 	struct bf_waiter_list list;
 } bf_waiting_t;
 
@@ -81,8 +81,7 @@
 void bf_waiting_done(bf_waiting_t *waiting, bf_time_us_t spent_us);
 
 /* Expected time until a call of this kind that arrives now gets a slot. */
-bf_time_us_t bf_waiting_expected_us(
-    const bf_waiting_t *waiting, const bf_waiter_t *waiter,
-    bf_time_us_t now_us);
+bf_time_us_t bf_waiting_expected_us(const bf_waiting_t *waiting,
+    const bf_waiter_t *waiter, bf_time_us_t now_us);
 
 #endif
--- a/net/loop.c
+++ b/net/loop.c
@@ -96,8 +96,7 @@
 {
 	size_t place = timer->place;
 
-	while (place > 1 &&
-	    loop->timers[place / 2]->when_us > timer->when_us) {
+	while (place > 1 && loop->timers[place / 2]->when_us > timer->when_us) {
 		put_timer(loop, place, loop->timers[place / 2]);
 		place /= 2;
 	}
@@ -246,8 +245,7 @@
 	bf_time_us_t now_us;
 	int count, i;
 
-	count = epoll_wait(
-	    loop->epoll_fd, events, EVENTS_MAX, wait_ms(loop));
+	count = epoll_wait(loop->epoll_fd, events, EVENTS_MAX, wait_ms(loop));
 	now_us = bf_clock_monotonic_us();
 	for (i = 0; i < count; i++) {
 		source = events[i].data.ptr;
@@ -262,6 +260,7 @@
 void
 bf_loop_run(bf_loop_t *loop)
 {
+	loop->stop = false;
 	while (!loop->stop)
 		run_round(loop);
 }
--- a/net/loop.h
+++ b/net/loop.h
@@ -46,7 +46,7 @@
 bf_loop_t *bf_loop_new(bf_error_t *err);
 void bf_loop_free(bf_loop_t *loop);
 
-/* Runs until bf_loop_stop. */
+/* Runs until bf_loop_stop; may be run again. */
 void bf_loop_run(bf_loop_t *loop);
 void bf_loop_stop(bf_loop_t *loop);
 
@@ -55,8 +55,7 @@
 void bf_loop_change(bf_loop_t *loop, bf_source_t *source, uint32_t events);
 
 /* Sets or moves a timer; it fires once. */
-void bf_loop_timer(
-    bf_loop_t *loop, bf_timer_t *timer, bf_time_us_t when_us);
+void bf_loop_timer(bf_loop_t *loop, bf_timer_t *timer, bf_time_us_t when_us);
 void bf_loop_timer_cancel(bf_loop_t *loop, bf_timer_t *timer);
 
 void bf_loop_task(bf_loop_t *loop, bf_task_t *task);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -267,8 +267,8 @@
 	struct sockaddr_in address = { 0 };
 	socklen_t bytes = sizeof(address);
 
-	if (getsockname(listener->source.fd, (struct sockaddr *)&address,
-		&bytes) != 0)
+	if (getsockname(
+		listener->source.fd, (struct sockaddr *)&address, &bytes) != 0)
 		return 0;
 	return ntohs(address.sin_port);
 }
--- a/observe/events.h
+++ b/observe/events.h
@@ -17,24 +17,24 @@
 	BF_EVENT_STARTED,
 	BF_EVENT_STOPPING,
 	BF_EVENT_STOPPED,
-	BF_EVENT_SETTINGS,    /* read again */
-	BF_EVENT_STORE_UP,    /* the store answers */
+	BF_EVENT_SETTINGS, /* read again */
+	BF_EVENT_STORE_UP, /* the store answers */
 	BF_EVENT_STORE_DOWN,
-	BF_EVENT_STORE_CALL,  /* one that did not succeed */
+	BF_EVENT_STORE_CALL, /* one that did not succeed */
 	BF_EVENT_PEER_UP,
 	BF_EVENT_PEER_DOWN,
-	BF_EVENT_PEER_GONE,   /* forgotten */
-	BF_EVENT_MEMBER,      /* the own entry in the store */
-	BF_EVENT_TARGET,      /* the target beside the node */
-	BF_EVENT_CONFIG,      /* put in force */
-	BF_EVENT_CONFIG_BAD,  /* refused */
-	BF_EVENT_ENTRY_BAD,   /* an entry of the store that cannot be read */
-	BF_EVENT_MOVE,        /* ordered, stepped, completed, taken back */
-	BF_EVENT_FINISHED,    /* a call at its entry: answered or refused */
-	BF_EVENT_PLACED,      /* a call was given to a node */
-	BF_EVENT_BOUNCED,     /* the node refused it, not run */
-	BF_EVENT_RAN,         /* a call at its target */
-	BF_EVENT_REFUSED,     /* a call refused beside its target */
+	BF_EVENT_PEER_GONE,  /* forgotten */
+	BF_EVENT_MEMBER,     /* the own entry in the store */
+	BF_EVENT_TARGET,     /* the target beside the node */
+	BF_EVENT_CONFIG,     /* put in force */
+	BF_EVENT_CONFIG_BAD, /* refused */
+	BF_EVENT_ENTRY_BAD,  /* an entry of the store that cannot be read */
+	BF_EVENT_MOVE,       /* ordered, stepped, completed, taken back */
+	BF_EVENT_FINISHED,   /* a call at its entry: answered or refused */
+	BF_EVENT_PLACED,     /* a call was given to a node */
+	BF_EVENT_BOUNCED,    /* the node refused it, not run */
+	BF_EVENT_RAN,        /* a call at its target */
+	BF_EVENT_REFUSED,    /* a call refused beside its target */
 	BF_EVENT_CANCELLED,
 	BF_EVENT_KIND_COUNT
 } bf_event_kind_t;
--- a/observe/metrics.c
+++ b/observe/metrics.c
@@ -134,8 +134,7 @@
 }
 
 void
-bf_metric_time(
-    bf_family_t *family, const char *value, bf_time_us_t duration_us)
+bf_metric_time(bf_family_t *family, const char *value, bf_time_us_t duration_us)
 {
 	bf_metric_sample_t *sample;
 
@@ -171,8 +170,7 @@
 		return;
 	bf_bytes_text(out, "{");
 	if (has_label)
-		bf_bytes_format(
-		    out, "%s=\"%s\"", family->label, sample->value);
+		bf_bytes_format(out, "%s=\"%s\"", family->label, sample->value);
 	if (has_label && more[0] != '\0')
 		bf_bytes_text(out, ",");
 	bf_bytes_format(out, "%s}", more);
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -45,8 +45,8 @@
 
 static const bf_field_t caller_fields[] = {
 	ADDRESS("listen", AT(callers.listen)),
-	NUMBER("connections_max", AT(callers.connections_max), 0,
-	    CONNECTIONS_MAX),
+	NUMBER(
+	    "connections_max", AT(callers.connections_max), 0, CONNECTIONS_MAX),
 };
 
 static const bf_field_t peer_fields[] = {
--- a/store/follow.c
+++ b/store/follow.c
@@ -48,8 +48,7 @@
 }
 
 static void
-take_page(
-    bf_follow_t *follow, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+take_page(bf_follow_t *follow, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	/*
 	 * Pages are no snapshot: what changes while they are read is told by
@@ -69,8 +68,7 @@
 }
 
 static void
-take_items(
-    bf_follow_t *follow, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+take_items(bf_follow_t *follow, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	size_t i;
 
@@ -109,8 +107,7 @@
 		follow->failures++;
 		bf_loop_timer(follow->loop, &follow->retry,
 		    now_us +
-			bf_follow_pause_us(
-			    follow->failures, &follow->random));
+			bf_follow_pause_us(follow->failures, &follow->random));
 	}
 }
 
--- a/store/follow.h
+++ b/store/follow.h
@@ -13,8 +13,8 @@
 typedef struct bf_follow bf_follow_t;
 
 typedef struct bf_follow_vtable {
-	void (*item)(bf_follow_t *follow, const bf_kv_item_t *item,
-	    bf_time_us_t now_us);
+	void (*item)(
+	    bf_follow_t *follow, const bf_kv_item_t *item, bf_time_us_t now_us);
 	/* A whole list was told; may be NULL. */
 	void (*listed)(bf_follow_t *follow, bf_time_us_t now_us);
 	/* A call ended with that code; may be NULL. */
--- /dev/null
+++ b/tests/test_mesh.c
@@ -0,0 +1,670 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/mesh_bed.h"
+
+/*
+ * Nodes of a mesh with scripted targets: what callers get and what targets
+ * run, for each way in which a call can go wrong.
+ */
+
+#define CONFIG                        \
+	"5\n"                         \
+	"/read/ safe shop 800 200 2 2\n" \
+	"/pay/ unsafe shop 800 200 2 1\n"
+
+#define WAIT_US (3 * BF_US_PER_S)
+#define LEFT_MS 800
+#define SETTLE_US (150 * BF_US_PER_MS)
+
+static mesh_bed_t *
+configured(uint32_t nodes)
+{
+	mesh_bed_t *bed = bed_new(nodes);
+
+	bed_configure(bed, CONFIG);
+	return bed;
+}
+
+/* Sends one call to node 0 and waits for its end. */
+static bed_call_t
+one_call(
+    mesh_bed_t *bed, const char *method, const char *path, const char *id)
+{
+	bed_call_t call;
+
+	bed_send(bed, &call, 0, method, path, id, LEFT_MS, 0);
+	g_assert_true(bed_await(bed, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	return call;
+}
+
+static void
+set_all(mesh_bed_t *bed, bed_behaviour_t behaviour)
+{
+	uint32_t i;
+
+	for (i = 0; i < bed->node_count; i++)
+		bed->targets[i].behaviour = behaviour;
+}
+
+static void
+test_answered(void)
+{
+	mesh_bed_t *bed = configured(3);
+	bed_call_t call = one_call(bed, "GET", "/read/x?y=1", "c1");
+
+	g_assert_cmpint(call.end, ==, BF_HTTP_ANSWERED);
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpstr(call.body, ==, "whole");
+	g_assert_cmpstr(call.id, ==, "c1");
+	g_assert_cmpuint(bed_runs_of(bed, "c1"), ==, 1);
+	bed_free(bed);
+}
+
+/* The target is told the entry's service and at most the time left. */
+static void
+test_own_fields(void)
+{
+	mesh_bed_t *bed = configured(1);
+	const bed_run_t *run = &bed->targets[0].runs[0];
+
+	(void)one_call(bed, "GET", "/read/x", "c1");
+	g_assert_cmpstr(run->caller_service, ==, "shop");
+	g_assert_cmpint(run->left_ms, >, 0);
+	g_assert_cmpint(run->left_ms, <=, LEFT_MS);
+	bed_free(bed);
+}
+
+/* A node that knows no configuration refuses; it does not deny a route. */
+static void
+test_without_configuration(void)
+{
+	mesh_bed_t *bed = bed_new(1);
+	bed_call_t call = one_call(bed, "GET", "/read/x", "c1");
+
+	g_assert_cmpuint(call.status, ==, 503);
+	g_assert_cmpfloat(call.retry_after_s, >, 0);
+	bed_configure(bed, CONFIG);
+	call = one_call(bed, "GET", "/nowhere/x", "c2");
+	g_assert_cmpuint(call.status, ==, 404);
+	bed_free(bed);
+}
+
+/* Never told "not run" of a call that may have run, and run once only. */
+static void
+test_unsafe_once(void)
+{
+	static const bed_behaviour_t ways[] = { BED_CLOSE, BED_CROSS, BED_CUT,
+		BED_FAIL };
+	char id[24];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(ways); i++) {
+		mesh_bed_t *bed = configured(3);
+		bed_call_t call;
+
+		set_all(bed, ways[i]);
+		(void)snprintf(id, sizeof(id), "c%zu", i);
+		call = one_call(bed, "POST", "/pay/x", id);
+		g_assert_cmpuint(
+		    call.status, ==, ways[i] == BED_FAIL ? 500 : 502);
+		g_assert_cmpuint(bed_runs_of(bed, id), ==, 1);
+		bed_free(bed);
+	}
+}
+
+/* A repeatable call goes to a second target, and to no third. */
+static void
+test_safe_repeated(void)
+{
+	mesh_bed_t *bed = configured(4);
+	bed_call_t call;
+
+	set_all(bed, BED_CLOSE);
+	call = one_call(bed, "GET", "/read/x", "c1");
+	g_assert_cmpuint(call.status, ==, 502);
+	g_assert_cmpuint(bed_runs_of(bed, "c1"), ==, 2);
+	bed_free(bed);
+}
+
+/* When the repeat brings nothing better, the first failure is whole. */
+static void
+test_kept_failure(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bed_call_t call;
+	uint32_t i;
+
+	set_all(bed, BED_FAIL);
+	for (i = 0; i < 20; i++) {
+		char id[24];
+
+		bed->targets[i % 2].behaviour = BED_CLOSE;
+		bed->targets[1 - i % 2].behaviour = BED_FAIL;
+		(void)snprintf(id, sizeof(id), "k%u", i);
+		call = one_call(bed, "GET", "/read/x", id);
+		g_assert_cmpint(call.end, ==, BF_HTTP_ANSWERED);
+		if (call.status == 500) {
+			g_assert_cmpstr(call.body, ==, "failed");
+			g_assert_cmpstr(call.id, ==, id);
+		} else {
+			g_assert_cmpuint(call.status, ==, 502);
+		}
+	}
+	bed_free(bed);
+}
+
+/* What a target says it did not run is refused, or runs elsewhere. */
+static void
+test_rejected(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bed_call_t call;
+
+	set_all(bed, BED_NOT_RUN);
+	call = one_call(bed, "POST", "/pay/x", "c1");
+	g_assert_cmpuint(call.status, ==, 503);
+	g_assert_cmpfloat(call.retry_after_s, >, 0);
+	g_assert_cmpuint(bed_runs_of(bed, "c1"), ==, 0);
+	bed->targets[1].behaviour = BED_ANSWER;
+	call = one_call(bed, "POST", "/pay/x", "c2");
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpuint(bed_runs_of(bed, "c2"), ==, 1);
+	bed_free(bed);
+}
+
+/* An answer of another request, or a second one, reaches nobody. */
+static void
+test_extra_answer(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_call_t call;
+	uint32_t i;
+
+	set_all(bed, BED_EXTRA);
+	for (i = 0; i < 10; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "e%u", i);
+		call = one_call(bed, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+		g_assert_cmpstr(call.id, ==, id);
+		g_assert_cmpstr(call.body, ==, "whole");
+	}
+	bed_free(bed);
+}
+
+static void
+test_unframed_answer(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_call_t call;
+
+	set_all(bed, BED_UNFRAMED);
+	call = one_call(bed, "GET", "/read/x", "c1");
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpstr(call.body, ==, "unframed");
+	bed_free(bed);
+}
+
+/* A silent target: the answer comes at the route's timeout. */
+static void
+test_silent_target(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_call_t call;
+
+	set_all(bed, BED_SILENT);
+	call = one_call(bed, "POST", "/pay/x", "c1");
+	g_assert_cmpuint(call.status, ==, 504);
+	g_assert_cmpint(call.took_us, <, (LEFT_MS + 300) * BF_US_PER_MS);
+	bed_free(bed);
+}
+
+/* A caller that leaves frees its slot. */
+static void
+test_caller_leaves(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_call_t call;
+
+	bed->targets[0].delay_us = 2 * BF_US_PER_S;
+	bed_send(bed, &call, 0, "GET", "/read/x", "c1", 5000, 0);
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpuint(bed->targets[0].running, ==, 1);
+	bf_http_cancel(&call.exchange);
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpuint(bed->targets[0].running, ==, 0);
+	g_assert_true(bed->targets[0].runs[0].ended_early);
+	g_assert_cmpuint(bf_target_busy(bed->nodes[0]), ==, 0);
+	bed_free(bed);
+}
+
+/* However many come at once, the target gets what it has slots for. */
+static void
+test_never_overfilled(void)
+{
+	enum { CALLS = 40 };
+	mesh_bed_t *bed = configured(1);
+	bed_call_t calls[CALLS];
+	uint32_t served = 0, refused = 0, i;
+
+	bed->targets[0].delay_us = 60 * BF_US_PER_MS;
+	for (i = 0; i < CALLS; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "b%u", i);
+		bed_send(bed, &calls[i], 0, "POST", "/pay/x", id, LEFT_MS, 0);
+	}
+	g_assert_true(bed_await(bed, calls, CALLS, WAIT_US));
+	for (i = 0; i < CALLS; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "b%u", i);
+		bf_http_client_reset(&calls[i].client);
+		if (calls[i].status == 200) {
+			served++;
+			continue;
+		}
+		g_assert_cmpuint(calls[i].status, ==, 503);
+		g_assert_cmpuint(bed_runs_of(bed, id), ==, 0);
+		refused++;
+	}
+	g_assert_cmpuint(bed->targets[0].running_most, <=, BED_SLOTS);
+	g_assert_cmpuint(served, >=, 2 * BED_SLOTS);
+	g_assert_cmpuint(refused, >, 0);
+	bed_free(bed);
+}
+
+/* From the acknowledgement on, a draining target gets no new call. */
+static void
+test_draining(void)
+{
+	mesh_bed_t *bed = configured(2);
+	uint32_t before, i;
+	bed_call_t call;
+
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	before = bed->targets[0].run_count;
+	for (i = 0; i < 20; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "d%u", i);
+		call = one_call(bed, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+	}
+	g_assert_cmpuint(bed->targets[0].run_count, ==, before);
+	bed_free(bed);
+}
+
+/* What is late from a former lifetime, or older, changes nothing. */
+static void
+test_old_heartbeats(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_target_t *target = &bed->targets[0];
+	uint64_t sequence = target->sequence;
+
+	target->born_ms = 2000;
+	target->sequence = 0;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", false), ==, BF_OK);
+	target->born_ms = 1000;
+	target->sequence = sequence + 10;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(
+	    bed->nodes[0]->target.state, ==, BF_TARGET_READY);
+	/* The same lifetime: an older count is late. */
+	target->born_ms = 2000;
+	target->sequence = 5;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	target->sequence = 2;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(
+	    bed->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	/* One that left does not come back in the same lifetime. */
+	bf_mesh_target_leaves(
+	    bed->nodes[0], target->id, bf_clock_monotonic_us());
+	target->sequence = 20;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(
+	    bed->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	/* The same id started anew, its counts too. */
+	target->born_ms = 3000;
+	target->sequence = 0;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_READY);
+	bed_free(bed);
+}
+
+static void
+test_version_never_back(void)
+{
+	mesh_bed_t *bed = configured(2);
+
+	bed_configure(bed, "4\n/old/ safe shop 800 200 2 2\n");
+	g_assert_cmpuint(
+	    bf_routing_version(bed->nodes[0]->routing), ==, 5);
+	bed_configure(bed, "broken");
+	g_assert_cmpuint(
+	    bf_routing_version(bed->nodes[1]->routing), ==, 5);
+	bed_configure(bed, "9\n/new/ safe shop 800 200 2 2\n");
+	g_assert_cmpuint(
+	    bf_routing_version(bed->nodes[1]->routing), ==, 9);
+	bed_free(bed);
+}
+
+/* A watch that heard nothing and was cut is followed by a list. */
+static void
+test_cut_watch(void)
+{
+	mesh_bed_t *bed = configured(1);
+	uint32_t lists;
+
+	bed->store.deaf = true;
+	bed_put(bed, "ops/config", "8\n/late/ safe shop 800 200 2 2\n");
+	lists = bed->store.lists;
+	bed->store.down = true;
+	/* Ends the waiting watch, as a cut does. */
+	bf_follow_stop(&bed->nodes[0]->follow);
+	bed->nodes[0]->follow.call.done(&bed->nodes[0]->follow.call,
+	    &(bf_kv_reply_t){ .code = BF_ERR_TIMEOUT },
+	    bf_clock_monotonic_us());
+	bed->store.down = false;
+	bed_run(bed, BF_US_PER_S);
+	g_assert_cmpuint(bed->store.lists, >, lists);
+	g_assert_cmpuint(
+	    bf_routing_version(bed->nodes[0]->routing), ==, 8);
+	bed_free(bed);
+}
+
+/* A node that the store fails gets the configuration from its peers. */
+static void
+test_configuration_by_peers(void)
+{
+	mesh_bed_t *bed = configured(2);
+
+	bf_follow_stop(&bed->nodes[1]->follow);
+	bed_configure(bed, "9\n/new/ safe shop 800 200 2 2\n");
+	bed_run(bed, BF_US_PER_S);
+	g_assert_cmpuint(
+	    bf_routing_version(bed->nodes[1]->routing), ==, 9);
+	bed_free(bed);
+}
+
+/* Ends well while the store answers nobody. */
+static void
+test_store_down(void)
+{
+	mesh_bed_t *bed = configured(3);
+	bed_call_t call;
+
+	bed->store.down = true;
+	bed_run(bed, BF_US_PER_S);
+	call = one_call(bed, "GET", "/read/x", "c1");
+	g_assert_cmpuint(call.status, ==, 200);
+	bed->store.down = false;
+	bed_run(bed, 2 * BF_US_PER_S);
+	g_assert_true(bed->nodes[0]->store_up);
+	bed_free(bed);
+}
+
+typedef struct pipeline {
+	bf_tcp_t tcp; /* first member */
+	bf_http_reader_t reader;
+	mesh_bed_t *bed;
+	char ids[8][BF_REQUEST_ID_BYTES];
+	uint32_t count;
+	uint32_t wanted;
+} pipeline_t;
+
+static void
+on_pipeline_answer(bf_http_reader_t *reader, bf_http_message_t *message)
+{
+	pipeline_t *pipeline = BF_CONTAINER(reader, pipeline_t, reader);
+	const char *id = bf_http_find(message, "Call-Id");
+
+	(void)snprintf(pipeline->ids[pipeline->count],
+	    sizeof(pipeline->ids[0]), "%s", id != NULL ? id : "");
+	bf_http_message_free(message);
+	if (++pipeline->count == pipeline->wanted)
+		bf_loop_stop(pipeline->bed->loop);
+}
+
+static const bf_http_reader_vtable_t pipeline_reader = {
+	.message = on_pipeline_answer,
+};
+
+static void
+on_pipeline_bytes(
+    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+{
+	(void)now_us;
+	(void)bf_http_reader_feed(
+	    &((pipeline_t *)(void *)tcp)->reader, data, bytes);
+}
+
+static void
+on_pipeline_end(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
+{
+	(void)tcp;
+	(void)orderly;
+	(void)now_us;
+}
+
+static const bf_tcp_vtable_t pipeline_tcp = {
+	.received = on_pipeline_bytes,
+	.ended = on_pipeline_end,
+};
+
+/* Requests of one connection run side by side, answered in their order. */
+static void
+test_pipelined(void)
+{
+	mesh_bed_t *bed = configured(1);
+	pipeline_t pipeline = { .bed = bed, .wanted = 4 };
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	uint32_t i;
+
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	address.sin_port = htons(
+	    bf_listener_port(&bed->nodes[0]->callers.listener));
+	bed->targets[0].delay_us = 50 * BF_US_PER_MS;
+	bf_http_reader_init(&pipeline.reader, &pipeline_reader, false);
+	g_assert_cmpint(bf_tcp_connect(&pipeline.tcp, &pipeline_tcp, bed->loop,
+			    &address, NULL),
+	    ==, BF_OK);
+	pipeline.bed = bed;
+	for (i = 0; i < pipeline.wanted; i++)
+		bf_bytes_format(&pipeline.tcp.out,
+		    "GET /read/x HTTP/1.1\r\nHost: mesh.test\r\n"
+		    "Call-Id: p%u\r\nLeft-Ms: 800\r\n\r\n",
+		    i);
+	bf_tcp_send_later(&pipeline.tcp);
+	bed_run(bed, WAIT_US);
+	g_assert_cmpuint(pipeline.count, ==, 4);
+	for (i = 0; i < pipeline.wanted; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "p%u", i);
+		g_assert_cmpstr(pipeline.ids[i], ==, id);
+	}
+	g_assert_cmpuint(bed->targets[0].running_most, >, 1);
+	bf_tcp_close(&pipeline.tcp);
+	bf_http_reader_clear(&pipeline.reader);
+	bed_free(bed);
+}
+
+/* A call that a running one makes has its rank and is known as such. */
+static void
+test_made_call(void)
+{
+	mesh_bed_t *bed = configured(1);
+	bed_call_t call;
+	bf_job_t *maker;
+
+	bed->targets[0].delay_us = 300 * BF_US_PER_MS;
+	bed_send(bed, &call, 0, "GET", "/read/x", "parent", LEFT_MS, 0);
+	bed_run(bed, SETTLE_US);
+	maker = bf_target_maker(bed->nodes[0], "parent.child");
+	g_assert_nonnull(maker);
+	g_assert_cmpuint(bf_job_priority(maker), ==, 2);
+	g_assert_null(bf_target_maker(bed->nodes[0], "parent"));
+	g_assert_null(bf_target_maker(bed->nodes[0], "parenthood"));
+	g_assert_null(bf_target_maker(bed->nodes[0], "other.child"));
+	g_assert_true(bed_await(bed, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	bed_free(bed);
+}
+
+/* The node beside a target that stops takes its calls to their ends. */
+static void
+on_stopped(void *ctx)
+{
+	*(bool *)ctx = true;
+}
+
+static void
+test_stop(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bed_call_t calls[4];
+	bool stopped = false;
+	uint32_t i;
+
+	for (i = 0; i < 4; i++) {
+		char id[24];
+
+		bed->targets[i % 2].delay_us = 300 * BF_US_PER_MS;
+		(void)snprintf(id, sizeof(id), "s%u", i);
+		bed_send(bed, &calls[i], i % 2, "POST", "/pay/x", id, LEFT_MS,
+		    100000);
+	}
+	bed_run(bed, 50 * BF_US_PER_MS);
+	bf_mesh_stop(
+	    bed->nodes[0], on_stopped, &stopped, bf_clock_monotonic_us());
+	g_assert_false(bf_mesh_ready(bed->nodes[0]));
+	g_assert_true(bed_await(bed, calls, 4, WAIT_US));
+	for (i = 0; i < 4; i++) {
+		g_assert_cmpuint(calls[i].status, ==, 200);
+		bf_http_client_reset(&calls[i].client);
+	}
+	bed_run(bed, 3 * BF_US_PER_S);
+	g_assert_true(stopped);
+	bed_free(bed);
+}
+
+/* A version that was taken back gets nothing, also after a restart. */
+static void
+test_taken_back(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bf_mesh_t *node = bed->nodes[0];
+	const char *version;
+
+	bed_put(bed, "out/shop", "shop v2 2");
+	bed_put(bed, "ops/move/shop", "shop v2 4000");
+	bf_movement_outcome(node,
+	    &(bf_kv_item_t){ .key = "out/shop",
+		.data = "shop v2 2",
+		.data_bytes = 9,
+		.revision = bed->store.revision + 5 },
+	    bf_clock_monotonic_us());
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpint(bf_movement_choose(node, "shop", &version), ==, -1);
+	g_assert_cmpstr(version, ==, "v2");
+	bed_free(bed);
+}
+
+/* A good version takes all calls in time; its end is written once. */
+static void
+test_good_move(void)
+{
+	mesh_bed_t *bed = configured(3);
+	bed_call_t call;
+	uint32_t i;
+
+	bed_put(bed, "ops/move/shop", "shop v2 4000");
+	bed->targets[2].born_ms = 9000;
+	(void)snprintf(bed->targets[2].id, sizeof(bed->targets[2].id), "new");
+	g_assert_cmpint(bed_heartbeat(bed, 2, "v2", false), ==, BF_OK);
+	for (i = 0; i < 500 && bed->nodes[0]->moves[0].move.state ==
+		 BF_MOVE_ACTIVE;
+	     i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "m%u", i);
+		call = one_call(bed, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+		bed_run(bed, 10 * BF_US_PER_MS);
+	}
+	bed_run(bed, SETTLE_US);
+	for (i = 0; i < 3; i++)
+		g_assert_cmpint(bed->nodes[i]->moves[0].move.state, ==,
+		    BF_MOVE_COMPLETED);
+	bed_free(bed);
+}
+
+/* A version whose runs fail is taken back on every node. */
+static void
+test_bad_move(void)
+{
+	mesh_bed_t *bed = configured(3);
+	uint32_t i;
+
+	bed_put(bed, "ops/move/shop", "shop v2 4000");
+	bed->targets[2].born_ms = 9000;
+	bed->targets[2].behaviour = BED_FAIL;
+	(void)snprintf(bed->targets[2].id, sizeof(bed->targets[2].id), "new");
+	g_assert_cmpint(bed_heartbeat(bed, 2, "v2", false), ==, BF_OK);
+	for (i = 0; i < 600 && bed->nodes[0]->moves[0].move.state ==
+		 BF_MOVE_ACTIVE;
+	     i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "m%u", i);
+		(void)one_call(bed, "POST", "/pay/x", id);
+		bed_run(bed, 5 * BF_US_PER_MS);
+	}
+	bed_run(bed, SETTLE_US);
+	for (i = 0; i < 3; i++)
+		g_assert_cmpint(bed->nodes[i]->moves[0].move.state, ==,
+		    BF_MOVE_ROLLED_BACK);
+	g_assert_cmpuint(bed->targets[2].run_count, <=, 50);
+	bed_free(bed);
+}
+
+int
+main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/mesh/answered", test_answered);
+	g_test_add_func("/mesh/own-fields", test_own_fields);
+	g_test_add_func(
+	    "/mesh/without-configuration", test_without_configuration);
+	g_test_add_func("/mesh/unsafe-once", test_unsafe_once);
+	g_test_add_func("/mesh/safe-repeated", test_safe_repeated);
+	g_test_add_func("/mesh/kept-failure", test_kept_failure);
+	g_test_add_func("/mesh/rejected", test_rejected);
+	g_test_add_func("/mesh/extra-answer", test_extra_answer);
+	g_test_add_func("/mesh/unframed-answer", test_unframed_answer);
+	g_test_add_func("/mesh/silent-target", test_silent_target);
+	g_test_add_func("/mesh/caller-leaves", test_caller_leaves);
+	g_test_add_func("/mesh/never-overfilled", test_never_overfilled);
+	g_test_add_func("/mesh/draining", test_draining);
+	g_test_add_func("/mesh/old-heartbeats", test_old_heartbeats);
+	g_test_add_func("/mesh/version-never-back", test_version_never_back);
+	g_test_add_func("/mesh/cut-watch", test_cut_watch);
+	g_test_add_func(
+	    "/mesh/configuration-by-peers", test_configuration_by_peers);
+	g_test_add_func("/mesh/store-down", test_store_down);
+	g_test_add_func("/mesh/pipelined", test_pipelined);
+	g_test_add_func("/mesh/made-call", test_made_call);
+	g_test_add_func("/mesh/stop", test_stop);
+	g_test_add_func("/mesh/taken-back", test_taken_back);
+	g_test_add_func("/mesh/good-move", test_good_move);
+	g_test_add_func("/mesh/bad-move", test_bad_move);
+	return g_test_run();
+}
