--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -276,7 +276,7 @@
 /* The places that a call may be offered to. */
 static size_t
 list_places(bf_entry_call_t *call, const char *version, int which,
-    bf_place_t *places, bf_peer_t **peers, bf_time_us_t now_us)
+    bool unproven, bf_place_t *places, bf_peer_t **peers, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = call->mesh;
 	const bf_node_state_t *state;
@@ -297,6 +297,7 @@
 		    state->target_state != BF_TARGET_READY ||
 		    state->load.slots == 0 ||
 		    strcmp(state->service, call->service) != 0 ||
+		    (peer->unproven && !unproven) ||
 		    !takes_version(state->version, version, which) ||
 		    was_tried(call, peer))
 			continue;
@@ -331,10 +332,15 @@
 	int which;
 
 	which = bf_movement_choose(call->mesh, call->service, &version);
-	count = list_places(call, version, which, places, peers, now_us);
-	if (count > 0 || which <= 0)
-		return count;
-	return list_places(call, version, -which, places, peers, now_us);
+	count = list_places(
+	    call, version, which, false, places, peers, now_us);
+	if (count == 0 && which > 0)
+		count = list_places(
+		    call, version, -which, false, places, peers, now_us);
+	if (count == 0 && which == 0)
+		count = list_places(
+		    call, version, which, true, places, peers, now_us);
+	return count;
 }
 
 static bool
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -71,6 +71,7 @@
 	bool listed;             /* in the last list of the store */
 	bf_time_us_t missing_us; /* since when neither listed nor open */
 	bool heard;              /* state is known */
+	bool unproven; /* see bf_movement_saw */
 	bf_node_state_t state;
 	uint32_t sent; /* calls since the last report */
 	bf_time_us_t asked_config_us;
@@ -214,6 +215,16 @@
 	bf_budget_t budget;
 } bf_service_budget_t;
 
+/* A version of a service's software that some target runs. */
+typedef struct bf_known_version {
+	char service[BF_NAME_BYTES];
+	char version[BF_NAME_BYTES];
+	bf_time_us_t seen_us;
+	bool proven;
+} bf_known_version_t;
+
+#define BF_VERSIONS_MAX 64
+
 typedef struct bf_mesh_metrics {
 	bf_family_t *calls;   /* by outcome */
 	bf_family_t *causes;  /* of calls that were not answered */
@@ -288,6 +299,8 @@
 	bf_own_target_t target;
 	bf_known_move_t moves[BF_MOVES_MAX];
 	uint32_t move_count;
+	bf_known_version_t versions[BF_VERSIONS_MAX];
+	uint32_t version_count;
 
 	/* Shutdown. */
 	bool stopping;
@@ -319,6 +332,8 @@
 /* mesh/source.c: configuration and orders. */
 void bf_source_start(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_source_stop(bf_mesh_t *mesh);
+/* Reads all that operators wrote again. */
+void bf_source_refresh(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* A configuration as a peer or the store has it. */
 void bf_source_take(bf_mesh_t *mesh, const void *data, size_t bytes,
     const char *from, bf_time_us_t now_us);
@@ -328,6 +343,17 @@
     bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us);
 void bf_movement_outcome(
     bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us);
+/*
+ * A target runs this version.  True: it is unproven, so that it gets no call
+ * while others can take it.  A version is proven when it is the first of its
+ * service, or when all orders were read after it was seen: then either it is
+ * no move's, or its move says what it gets.  A node may be slow to hear of an
+ * order while the targets that it is about are ready.
+ */
+bool bf_movement_saw(bf_mesh_t *mesh, const char *service,
+    const char *version, bf_time_us_t now_us);
+/* All orders were read, by a list that began then. */
+void bf_movement_listed(bf_mesh_t *mesh, bf_time_us_t began_us);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_movement_tell(
     bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -132,6 +132,64 @@
 	log_move(known, "ordered", now_us);
 }
 
+static bf_known_version_t *
+find_version(bf_mesh_t *mesh, const char *service, const char *version)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh->version_count; i++) {
+		if (strcmp(mesh->versions[i].service, service) == 0 &&
+		    (version == NULL ||
+			strcmp(mesh->versions[i].version, version) == 0))
+			return &mesh->versions[i];
+	}
+	return NULL;
+}
+
+bool
+bf_movement_saw(bf_mesh_t *mesh, const char *service, const char *version,
+    bf_time_us_t now_us)
+{
+	bf_known_version_t *known;
+	bool first;
+
+	if (service[0] == '\0')
+		return false;
+	known = find_version(mesh, service, version);
+	if (known != NULL)
+		return !known->proven;
+	if (mesh->version_count == BF_VERSIONS_MAX)
+		return false;
+	first = find_version(mesh, service, NULL) == NULL;
+	known = &mesh->versions[mesh->version_count++];
+	*known = (bf_known_version_t){ .seen_us = now_us, .proven = first };
+	(void)snprintf(known->service, sizeof(known->service), "%s", service);
+	(void)snprintf(known->version, sizeof(known->version), "%s", version);
+	if (!first)
+		bf_source_refresh(mesh, now_us);
+	return !first;
+}
+
+void
+bf_movement_listed(bf_mesh_t *mesh, bf_time_us_t began_us)
+{
+	bf_peer_t *peer;
+	uint32_t i;
+
+	for (i = 0; i < mesh->version_count; i++) {
+		if (mesh->versions[i].seen_us <= began_us)
+			mesh->versions[i].proven = true;
+	}
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (peer->unproven)
+			peer->unproven = bf_movement_saw(mesh,
+			    peer->state.service, peer->state.version, 0);
+	}
+	if (mesh->peers->unproven)
+		mesh->peers->unproven = bf_movement_saw(mesh,
+		    mesh->target.beat.service, mesh->target.beat.version, 0);
+}
+
 /* The first by name of the nodes that can write, or of all if none can. */
 static bool
 leads(bf_mesh_t *mesh)
--- a/mesh/placing.c
+++ b/mesh/placing.c
@@ -5,6 +5,11 @@
  * a failed call has to be made again, which takes another place's time.
  */
 #define FAILING_FACTOR 8.0
+/*
+ * How much longer a call takes at a target with all slots but one taken than
+ * at an idle one: some slow down as they fill.
+ */
+#define FILLING_FACTOR 0.15
 /* A silent node's target is used only if there is nothing else. */
 #define DOUBTFUL_US (2 * BF_US_PER_S)
 
@@ -38,6 +43,8 @@
 	    (1.0 + FAILING_FACTOR * place->failing_ppm / 1000000.0);
 	if (load >= slots)
 		wait_us = mean_us * (load - slots + 1) / slots;
+	else
+		wait_us = mean_us * FILLING_FACTOR * load / slots;
 	return (bf_time_us_t)(mean_us + wait_us) + place->distance_us +
 	    (place->doubtful ? DOUBTFUL_US : 0);
 }
@@ -48,34 +55,41 @@
 	return place->near && bf_place_expected_us(place) <= near_us;
 }
 
-/* Two different ones of the places that pass, the better of them. */
+/* The place that is the given one, from 0, of those that pass. */
 static size_t
-better_of_two(const bf_place_t *places, size_t count, bool near_only,
-    bf_time_us_t near_us, size_t passing, uint64_t *random)
+nth_passing(const bf_place_t *places, bool near_only, bf_time_us_t near_us,
+    size_t nth)
 {
-	size_t first, second, seen = 0, i, best = BF_PLACE_NONE;
-	bf_time_us_t cost_us, best_us = 0;
+	size_t i;
 
-	first = bf_place_random(random) % passing;
-	second = passing;
-	if (passing > 1) {
-		second = bf_place_random(random) % (passing - 1);
-		if (second >= first)
-			second++;
-	}
-	for (i = 0; i < count; i++) {
+	for (i = 0;; i++) {
 		if (near_only && !is_near_enough(&places[i], near_us))
 			continue;
-		if (seen == first || seen == second) {
-			cost_us = bf_place_expected_us(&places[i]);
-			if (best == BF_PLACE_NONE || cost_us < best_us) {
-				best = i;
-				best_us = cost_us;
-			}
-		}
-		seen++;
+		if (nth-- == 0)
+			return i;
 	}
-	return best;
+}
+
+/* Two different ones of the places that pass, the better of them. */
+static size_t
+better_of_two(const bf_place_t *places, bool near_only, bf_time_us_t near_us,
+    size_t passing, uint64_t *random)
+{
+	size_t first, second;
+
+	first = bf_place_random(random) % passing;
+	if (passing == 1)
+		return nth_passing(places, near_only, near_us, 0);
+	second = bf_place_random(random) % (passing - 1);
+	if (second >= first)
+		second++;
+	first = nth_passing(places, near_only, near_us, first);
+	second = nth_passing(places, near_only, near_us, second);
+	/* The first is as random as the second, so a tie favours neither. */
+	return bf_place_expected_us(&places[second]) <
+		bf_place_expected_us(&places[first])
+	    ? second
+	    : first;
 }
 
 size_t
@@ -91,7 +105,6 @@
 			near++;
 	}
 	if (near > 0)
-		return better_of_two(
-		    places, count, true, near_us, near, random);
-	return better_of_two(places, count, false, near_us, count, random);
+		return better_of_two(places, true, near_us, near, random);
+	return better_of_two(places, false, near_us, count, random);
 }
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -208,6 +208,8 @@
 		    (int)state->target_state, "stopping", (int)state->stopping,
 		    "config_version", (json_int_t)state->config_version);
 	peer->heard = true;
+	peer->unproven = bf_movement_saw(
+	    peer->mesh, state->service, state->version, now_us);
 	ask_config(peer, now_us);
 }
 
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -86,6 +86,12 @@
 		bf_movement_order(mesh, item, now_us);
 }
 
+static void
+on_listed(bf_follow_t *follow, bf_time_us_t began_us)
+{
+	bf_movement_listed(BF_CONTAINER(follow, bf_mesh_t, follow), began_us);
+}
+
 static void
 on_called(bf_follow_t *follow, bf_code_t code, bf_time_us_t now_us)
 {
@@ -100,9 +106,17 @@
 
 static const bf_follow_vtable_t follow_vtable = {
 	.item = on_item,
+	.listed = on_listed,
 	.called = on_called,
 };
 
+void
+bf_source_refresh(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (mesh->follow.vtable != NULL)
+		bf_follow_refresh(&mesh->follow, now_us);
+}
+
 static void
 follow_operator(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -762,6 +762,8 @@
 	target->beat = *beat;
 	target->heard_us = now_us;
 	target->warm_us = now_us + beat->warm_up_ms * BF_US_PER_MS;
+	mesh->peers->unproven =
+	    bf_movement_saw(mesh, beat->service, beat->version, now_us);
 	state = beat->draining ? BF_TARGET_DRAINING : BF_TARGET_READY;
 	if (state == target->state)
 		return BF_OK;
--- a/store/follow.c
+++ b/store/follow.c
@@ -31,6 +31,8 @@
 static void
 next_call(bf_follow_t *follow, bf_time_us_t now_us)
 {
+	if (follow->listing && follow->after_key[0] == '\0')
+		follow->list_began_us = now_us;
 	if (follow->listing)
 		follow->kv->vtable->list(follow->kv, &follow->call,
 		    follow->prefix, follow->after_key, false, now_us);
@@ -43,12 +45,13 @@
 begin_list(bf_follow_t *follow)
 {
 	follow->listing = true;
+	follow->again = false;
 	follow->list_revision = 0;
 	follow->after_key[0] = '\0';
 }
 
 static void
-take_page(bf_follow_t *follow, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+take_page(bf_follow_t *follow, const bf_kv_reply_t *reply)
 {
 	/*
 	 * Pages are no snapshot: what changes while they are read is told by
@@ -64,7 +67,9 @@
 	follow->listing = false;
 	follow->revision = follow->list_revision;
 	if (follow->vtable->listed != NULL)
-		follow->vtable->listed(follow, now_us);
+		follow->vtable->listed(follow, follow->list_began_us);
+	if (follow->again)
+		begin_list(follow);
 }
 
 static void
@@ -75,7 +80,7 @@
 	for (i = 0; i < reply->item_count; i++)
 		follow->vtable->item(follow, &reply->items[i], now_us);
 	if (follow->listing)
-		take_page(follow, reply, now_us);
+		take_page(follow, reply);
 	else if (reply->revision > follow->revision)
 		follow->revision = reply->revision;
 }
@@ -137,8 +142,10 @@
 void
 bf_follow_refresh(bf_follow_t *follow, bf_time_us_t now_us)
 {
-	if (follow->listing)
+	if (follow->listing) {
+		follow->again = follow->call.state != NULL;
 		return;
+	}
 	bf_follow_stop(follow);
 	begin_list(follow);
 	next_call(follow, now_us);
--- a/store/follow.h
+++ b/store/follow.h
@@ -15,8 +15,8 @@
 typedef struct bf_follow_vtable {
 	void (*item)(
 	    bf_follow_t *follow, const bf_kv_item_t *item, bf_time_us_t now_us);
-	/* A whole list was told; may be NULL. */
-	void (*listed)(bf_follow_t *follow, bf_time_us_t now_us);
+	/* A whole list was told that began at began_us; may be NULL. */
+	void (*listed)(bf_follow_t *follow, bf_time_us_t began_us);
 	/* A call ended with that code; may be NULL. */
 	void (*called)(
 	    bf_follow_t *follow, bf_code_t code, bf_time_us_t now_us);
@@ -35,8 +35,10 @@
 	bf_timer_t retry;
 	bool listing;
 	uint64_t revision;      /* watched from here */
+	bool again;             /* list once more after this list */
 	uint64_t list_revision; /* of the first page of a list */
 	char after_key[256];
+	bf_time_us_t list_began_us;
 	uint32_t failures; /* in a row */
 };
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -635,6 +635,40 @@
 	bed_free(bed);
 }
 
+/* A version whose order a node cannot have heard of yet gets no call. */
+static void
+test_unproven_version(void)
+{
+	mesh_bed_t *bed = configured(2);
+	uint32_t before, i;
+	bed_call_t call;
+
+	bed->store.down = true;
+	bed_run(bed, SETTLE_US);
+	bed->targets[1].born_ms = 9000;
+	(void)snprintf(bed->targets[1].id, sizeof(bed->targets[1].id), "new");
+	g_assert_cmpint(bed_heartbeat(bed, 1, "v2", false), ==, BF_OK);
+	bed_run(bed, SETTLE_US);
+	before = bed->targets[1].run_count;
+	for (i = 0; i < 20; i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "u%u", i);
+		call = one_call(bed, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+	}
+	g_assert_cmpuint(bed->targets[1].run_count, ==, before);
+	/* With nothing else there it is better than a refusal. */
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	call = one_call(bed, "GET", "/read/x", "only");
+	g_assert_cmpuint(call.status, ==, 200);
+	/* All orders read, and none of them is about it. */
+	bed->store.down = false;
+	bed_run(bed, 2 * BF_US_PER_S);
+	g_assert_false(bed->nodes[0]->peers->next->unproven);
+	bed_free(bed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -664,6 +698,7 @@
 	g_test_add_func("/mesh/made-call", test_made_call);
 	g_test_add_func("/mesh/stop", test_stop);
 	g_test_add_func("/mesh/taken-back", test_taken_back);
+	g_test_add_func("/mesh/unproven-version", test_unproven_version);
 	g_test_add_func("/mesh/good-move", test_good_move);
 	g_test_add_func("/mesh/bad-move", test_bad_move);
 	return g_test_run();
