Forget names whose address is reused; refuse what a stop would cut

Ruled out: evidence (it was there: 150 failures of 424), the store.

Change: a node says its name in its state; a name that another node answers for is forgotten at once. A stopping node refuses calls that might outlast it.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -417,6 +417,12 @@
 		give_up(call, BF_CAUSE_EXPIRED, now_us);
 		return;
 	}
+	/* What might not end before this process does is not begun. */
+	if (call->mesh->stopping &&
+	    call->deadline_us + LATE_US > bf_mesh_stop_end_us(call->mesh)) {
+		give_up(call, BF_CAUSE_DRAINING, now_us);
+		return;
+	}
 	count = find_places(call, places, peers, now_us);
 	if (count == 0 || call->offers == BF_OFFERS_MAX ||
 	    call->busy == BUSY_OFFERS_MAX) {
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -36,6 +36,7 @@
 
 /* What a node says of itself and its target. */
 typedef struct bf_node_state {
+	char instance[BF_NAME_BYTES];
 	char target[BF_NAME_BYTES]; /* "": none */
 	char service[BF_NAME_BYTES];
 	char version[BF_NAME_BYTES];
@@ -310,6 +311,9 @@
 	void *stopped_ctx;
 };
 
+/* mesh/mesh.c: when a stopping node ends at the latest. */
+bf_time_us_t bf_mesh_stop_end_us(const bf_mesh_t *mesh);
+
 /* mesh/roster.c: the other nodes. */
 bf_code_t bf_roster_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err);
 void bf_roster_close(bf_mesh_t *mesh);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -125,12 +125,19 @@
 	return mesh->routing != NULL && !mesh->stopping;
 }
 
+bf_time_us_t
+bf_mesh_stop_end_us(const bf_mesh_t *mesh)
+{
+	return mesh->stop_us + mesh->options.stop_ms * BF_US_PER_MS -
+	    STOP_RESERVE_US;
+}
+
 static bool
 is_drained(const bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_time_us_t since_us = now_us - mesh->stop_us;
 
-	if (since_us >= mesh->options.stop_ms * BF_US_PER_MS - STOP_RESERVE_US)
+	if (now_us >= bf_mesh_stop_end_us(mesh))
 		return true;
 	return since_us >= STOP_MIN_US && mesh->entry_count == 0 &&
 	    bf_target_busy(mesh) == 0;
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -25,6 +25,7 @@
 #define CONFIG_PATIENCE_US (100 * BF_US_PER_MS)
 
 static void dial(bf_peer_t *peer, bf_time_us_t now_us);
+static void forget(bf_peer_t *peer, bf_time_us_t now_us);
 
 bf_peer_t *
 bf_roster_find(bf_mesh_t *mesh, const char *instance)
@@ -72,6 +73,7 @@
 		.load = bf_target_load(mesh, now_us),
 	};
 
+	memcpy(state.instance, mesh->peers->instance, sizeof(state.instance));
 	memcpy(state.target, target->beat.id, sizeof(state.target));
 	memcpy(state.service, target->beat.service, sizeof(state.service));
 	memcpy(state.version, target->beat.version, sizeof(state.version));
@@ -81,6 +83,7 @@
 static void
 write_state(bf_wire_writer_t *writer, const bf_node_state_t *state)
 {
+	bf_wire_write_text(writer, state->instance);
 	bf_wire_write_text(writer, state->target);
 	bf_wire_write_text(writer, state->service);
 	bf_wire_write_text(writer, state->version);
@@ -94,6 +97,7 @@
 static void
 read_state(bf_wire_reader_t *reader, bf_node_state_t *state)
 {
+	bf_wire_read_text(reader, state->instance, sizeof(state->instance));
 	bf_wire_read_text(reader, state->target, sizeof(state->target));
 	bf_wire_read_text(reader, state->service, sizeof(state->service));
 	bf_wire_read_text(reader, state->version, sizeof(state->version));
@@ -272,8 +276,12 @@
 	switch (frame->kind) {
 	case BF_FRAME_STATE:
 		read_state(&reader, &state);
-		if (reader.code == BF_OK)
+		if (reader.code != BF_OK)
+			break;
+		if (strcmp(state.instance, peer->instance) == 0)
 			take_state(peer, &state, now_us);
+		else
+			forget(peer, now_us);
 		break;
 	case BF_FRAME_LOAD:
 		bf_wire_read_load(&reader, &load);
@@ -443,6 +451,10 @@
 	return peer;
 }
 
+/*
+ * Drops a node that is gone, or whose address belongs to another one by now:
+ * the latter would count twice, once under a name that nobody has.
+ */
 static void
 forget(bf_peer_t *peer, bf_time_us_t now_us)
 {
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -555,6 +555,39 @@
 	bed_free(bed);
 }
 
+/* Late in a stop, what might not end in time is refused and not begun. */
+static void
+test_stop_refuses_late(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bool stopped = false;
+	bed_call_t call;
+
+	bed->nodes[0]->options.stop_ms = 1300;
+	bf_mesh_stop(
+	    bed->nodes[0], on_stopped, &stopped, bf_clock_monotonic_us());
+	call = one_call(bed, "POST", "/pay/x", "late");
+	g_assert_cmpuint(call.status, ==, 503);
+	g_assert_cmpuint(bed_runs_of(bed, "late"), ==, 0);
+	bed_free(bed);
+}
+
+/* A name whose address belongs to another node by now is forgotten. */
+static void
+test_reused_address(void)
+{
+	mesh_bed_t *bed = configured(2);
+	const bf_peer_t *other = bf_roster_find(bed->nodes[0], "n1");
+
+	g_assert_nonnull(other);
+	(void)bf_roster_add(bed->nodes[0], "gone", "a", other->address_text, 1,
+	    bf_clock_monotonic_us());
+	bed_run(bed, 2 * SETTLE_US);
+	g_assert_null(bf_roster_find(bed->nodes[0], "gone"));
+	g_assert_true(bf_roster_find(bed->nodes[0], "n1")->open);
+	bed_free(bed);
+}
+
 /* A version that was taken back gets nothing, also after a restart. */
 static void
 test_taken_back(void)
@@ -697,6 +730,8 @@
 	g_test_add_func("/mesh/pipelined", test_pipelined);
 	g_test_add_func("/mesh/made-call", test_made_call);
 	g_test_add_func("/mesh/stop", test_stop);
+	g_test_add_func("/mesh/stop-refuses-late", test_stop_refuses_late);
+	g_test_add_func("/mesh/reused-address", test_reused_address);
 	g_test_add_func("/mesh/taken-back", test_taken_back);
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
 	g_test_add_func("/mesh/good-move", test_good_move);
