--- a/http/message.c
+++ b/http/message.c
@@ -195,6 +195,29 @@
 	return add_text(reader, at, bytes);
 }
 
+/* Whether a field's name is a token (RFC 9110, 5.6.2). */
+static bool
+is_token(const char *name)
+{
+	return name[0] != '\0' &&
+	    strspn(name,
+		"!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyz"
+		"ABCDEFGHIJKLMNOPQRSTUVWXYZ") == strlen(name);
+}
+
+/* The parser lets spaces pass that the next reader might skip. */
+static bool
+names_are_tokens(const bf_http_message_t *message)
+{
+	uint32_t i;
+
+	for (i = 0; i < message->field_count; i++) {
+		if (!is_token(bf_http_name(message, i)))
+			return false;
+	}
+	return true;
+}
+
 static int
 on_head(http_parser *parser)
 {
@@ -203,6 +226,8 @@
 
 	if (end_text(reader) != 0)
 		return -1;
+	if (!names_are_tokens(message))
+		return fail(reader, BF_HTTP_MALFORMED);
 	message->method = parser->method;
 	message->status = parser->status_code;
 	message->keep_alive = http_should_keep_alive(parser) != 0;
--- /dev/null
+++ b/tests/test_platform.c
@@ -0,0 +1,243 @@
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <apr_general.h>
+
+#include "platform/json.h"
+#include "platform/platform.h"
+
+/* What operators and targets write, decoded, and what is refused whole. */
+
+#define LIMITS                                                        \
+	"\"Limits\":{\"MaxHeaderBytes\":16384,\"MaxBodyBytes\":65536,"    \
+	"\"HeaderTimeoutMs\":3000,\"IdleTimeoutMs\":15000}"
+#define CLUSTERS                                                      \
+	"\"Clusters\":[{\"Name\":\"shop\",\"HealthPath\":\"/health\","    \
+	"\"MaxConnections\":130},{\"Name\":\"store\","                    \
+	"\"HealthPath\":\"/health\",\"MaxConnections\":130}]"
+#define POLICY(type, prefix, action)                                  \
+	"{\"Name\":\"r\",\"Type\":\"" type                                \
+	"\",\"TargetLatencyMs\":200,\"Priority\":2,\"Match\":{"           \
+	"\"Prefix\":\"" prefix "\"},\"Action\":{" action "}}"
+#define TO_SHOP "\"Service\":\"shop\",\"TimeoutMs\":800,\"MaxAttempts\":2"
+#define CONFIG(version, policies)                                     \
+	"{\"Version\":\"" version "\"," LIMITS "," CLUSTERS               \
+	",\"Listeners\":[{\"Authority\":\"A.example\",\"Policies\":["     \
+	policies "]}]}"
+
+static bf_code_t
+decode(const char *text, bf_routing_t **routing, bf_error_t *err)
+{
+	*routing = NULL;
+	return bf_platform_dialect.decode_config(
+	    text, strlen(text), routing, err);
+}
+
+static void
+test_config(void)
+{
+	static const char text[] = CONFIG("r17",
+	    POLICY("safe", "/a/", TO_SHOP) "," POLICY("unsafe", "/a/b/",
+		"\"TrafficSplit\":[{\"Service\":\"shop\",\"Weight\":90},"
+		"{\"Service\":\"store\",\"Weight\":10}],"
+		"\"TimeoutMs\":1000,\"MaxAttempts\":1"));
+	uint32_t counts[2] = { 0 }, i;
+	bf_mesh_route_t *route;
+	bf_routing_t *routing;
+	bf_error_t err;
+
+	g_assert_cmpint(decode(text, &routing, &err), ==, BF_OK);
+	g_assert_cmpuint(bf_routing_version(routing), ==, 17);
+	g_assert_cmpuint(bf_routing_limits(routing)->body_bytes, ==, 65536);
+	route = bf_routing_match(routing, "a.example:80", "/a/x?q=/a/b/");
+	g_assert_nonnull(route);
+	g_assert_cmpint(route->kind, ==, BF_ROUTE_SAFE);
+	g_assert_cmpuint(route->timeout_ms, ==, 800);
+	g_assert_cmpuint(route->objective_ms, ==, 200);
+	route = bf_routing_match(routing, "A.EXAMPLE", "/a/b/c");
+	g_assert_cmpint(route->kind, ==, BF_ROUTE_UNSAFE);
+	for (i = 0; i < 100; i++)
+		counts[strcmp(bf_route_service(route), "shop") == 0 ? 0 : 1]++;
+	g_assert_cmpuint(counts[0], ==, 90);
+	g_assert_cmpuint(counts[1], ==, 10);
+	g_assert_null(bf_routing_match(routing, "a.example", "/b/"));
+	g_assert_null(bf_routing_match(routing, "b.example", "/a/"));
+	g_assert_null(bf_routing_match(routing, "a.example", "/a"));
+	bf_routing_release(routing);
+}
+
+/* One fault each; nothing of such a version is put in force. */
+static void
+test_config_refused(void)
+{
+	static const struct {
+		const char *text;
+		bf_code_t code;
+	} cases[] = {
+		{ "", BF_ERR_PARSE },
+		{ "[]", BF_ERR_TYPE },
+		{ "{\"Version\":\"r1\"", BF_ERR_PARSE },
+		{ CONFIG("17", POLICY("safe", "/a/", TO_SHOP)), BF_ERR_TYPE },
+		{ CONFIG("r", POLICY("safe", "/a/", TO_SHOP)), BF_ERR_TYPE },
+		{ CONFIG("r1x", POLICY("safe", "/a/", TO_SHOP)), BF_ERR_TYPE },
+		{ CONFIG("r1", POLICY("odd", "/a/", TO_SHOP)), BF_ERR_RANGE },
+		{ CONFIG("r1", POLICY("safe", "a/", TO_SHOP)), BF_ERR_RANGE },
+		{ CONFIG("r1", POLICY("safe", "/a", TO_SHOP)), BF_ERR_RANGE },
+		{ CONFIG("r1",
+		      POLICY("safe", "/a/", TO_SHOP) ","
+		      POLICY("safe", "/a/", TO_SHOP)),
+		    BF_ERR_CONFLICT },
+		{ CONFIG("r1",
+		      POLICY("safe", "/a/",
+			  "\"Service\":\"none\",\"TimeoutMs\":800,"
+			  "\"MaxAttempts\":2")),
+		    BF_ERR_REFERENCE },
+		{ CONFIG("r1",
+		      POLICY("safe", "/a/",
+			  "\"Service\":\"shop\",\"TimeoutMs\":-1,"
+			  "\"MaxAttempts\":2")),
+		    BF_ERR_RANGE },
+		{ CONFIG("r1",
+		      POLICY("safe", "/a/",
+			  "\"Service\":\"shop\",\"TimeoutMs\":800")),
+		    BF_ERR_TYPE },
+		{ CONFIG("r1",
+		      POLICY("safe", "/a/",
+			  "\"TrafficSplit\":[{\"Service\":\"shop\","
+			  "\"Weight\":0}],\"TimeoutMs\":800,"
+			  "\"MaxAttempts\":2")),
+		    BF_ERR_RANGE },
+		{ "{\"Version\":\"r1\"," LIMITS "," CLUSTERS "}",
+		    BF_ERR_TYPE },
+	};
+	bf_routing_t *routing;
+	bf_error_t err;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("case %zu", i);
+		g_assert_cmpint(
+		    decode(cases[i].text, &routing, &err), ==, cases[i].code);
+		g_assert_null(routing);
+		g_assert_cmpint(err.code, ==, cases[i].code);
+		g_assert_cmpstr(err.message, !=, "");
+	}
+}
+
+/* Every cut of a valid configuration is refused, none crashes. */
+static void
+test_config_cut(void)
+{
+	static const char text[] =
+	    CONFIG("r17", POLICY("safe", "/a/", TO_SHOP));
+	bf_routing_t *routing = NULL;
+	bf_error_t err;
+	size_t bytes;
+
+	for (bytes = 0; bytes < sizeof(text) - 1; bytes++)
+		g_assert_cmpint(bf_platform_dialect.decode_config(
+				    text, bytes, &routing, &err),
+		    !=, BF_OK);
+}
+
+static void
+test_order(void)
+{
+	static const char whole[] =
+	    "{\"Service\":\"shop\",\"TargetVersion\":\"v2\",\"DurationS\":12}";
+	static const char fraction[] = "{\"Service\":\"shop\","
+				       "\"TargetVersion\":\"v2\","
+				       "\"DurationS\":14.204}";
+	static const char negative[] = "{\"Service\":\"shop\","
+				       "\"TargetVersion\":\"v2\","
+				       "\"DurationS\":-1}";
+	const bf_dialect_t *dialect = &bf_platform_dialect;
+	bf_move_order_t order;
+	bf_error_t err;
+
+	g_assert_cmpint(
+	    dialect->decode_order(whole, strlen(whole), &order, &err), ==,
+	    BF_OK);
+	g_assert_cmpstr(order.version, ==, "v2");
+	g_assert_cmpuint(order.duration_ms, ==, 12000);
+	g_assert_cmpint(
+	    dialect->decode_order(fraction, strlen(fraction), &order, &err),
+	    ==, BF_OK);
+	g_assert_cmpuint(order.duration_ms, ==, 14204);
+	g_assert_cmpint(
+	    dialect->decode_order(negative, strlen(negative), &order, &err),
+	    ==, BF_ERR_RANGE);
+}
+
+static void
+test_outcome(void)
+{
+	const bf_dialect_t *dialect = &bf_platform_dialect;
+	bf_move_outcome_t outcome = { .state = BF_MOVE_ROLLED_BACK }, read;
+	bf_bytes_t text = { 0 };
+	bf_error_t err;
+	int state;
+
+	(void)snprintf(outcome.service, sizeof(outcome.service), "shop");
+	(void)snprintf(outcome.version, sizeof(outcome.version), "v2");
+	for (state = BF_MOVE_ACTIVE; state <= BF_MOVE_ROLLED_BACK; state++) {
+		outcome.state = (bf_move_state_t)state;
+		bf_bytes_clear(&text);
+		dialect->encode_outcome(&outcome, &text);
+		g_assert_cmpint(
+		    dialect->decode_outcome(bf_bytes_at(&text),
+			bf_bytes_count(&text), &read, &err),
+		    ==, BF_OK);
+		g_assert_cmpint(read.state, ==, state);
+		g_assert_cmpstr(read.version, ==, "v2");
+	}
+	bf_bytes_free(&text);
+}
+
+#define BEAT(state, slots, rest)                                      \
+	"{\"Service\":\"shop\",\"Address\":\"10.0.0.9:80\",\"Zone\":"     \
+	"\"a\",\"Version\":\"v1\",\"Capacity\":" slots ",\"State\":\""    \
+	state "\",\"WarmupLeftMs\":0,\"Sequence\":4" rest "}"
+
+static void
+test_heartbeat(void)
+{
+	static const char beat[] =
+	    BEAT("draining", "13", ",\"born\":1780682195000,\"New\":1");
+	static const char *const refused[] = { BEAT("odd", "13", ""),
+		BEAT("ready", "\"13\"", ""), BEAT("ready", "-1", ""),
+		BEAT("ready", "13", ",\"born\":1.5"), "{}", "\x01\xff", "" };
+	bf_heartbeat_t heartbeat;
+	bf_error_t err;
+	size_t i;
+
+	g_assert_cmpint(bf_platform_decode_heartbeat("i-1", beat,
+			    strlen(beat), &heartbeat, &err),
+	    ==, BF_OK);
+	g_assert_cmpstr(heartbeat.id, ==, "i-1");
+	g_assert_true(heartbeat.draining);
+	g_assert_cmpuint(heartbeat.slots, ==, 13);
+	g_assert_cmpuint(heartbeat.born_ms, ==, 1780682195000);
+	for (i = 0; i < G_N_ELEMENTS(refused); i++)
+		g_assert_cmpint(bf_platform_decode_heartbeat("i-1", refused[i],
+				    strlen(refused[i]), &heartbeat, &err),
+		    !=, BF_OK);
+	g_assert_cmpint(bf_platform_decode_heartbeat(
+			    "", beat, strlen(beat), &heartbeat, &err),
+	    !=, BF_OK);
+}
+
+int
+main(int argc, char **argv)
+{
+	apr_initialize();
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/platform/config", test_config);
+	g_test_add_func("/platform/config-refused", test_config_refused);
+	g_test_add_func("/platform/config-cut", test_config_cut);
+	g_test_add_func("/platform/order", test_order);
+	g_test_add_func("/platform/outcome", test_outcome);
+	g_test_add_func("/platform/heartbeat", test_heartbeat);
+	return g_test_run();
+}
