--- a/ctl/command.c
+++ b/ctl/command.c
@@ -9,6 +9,7 @@
 #include "control/control.h"
 #include "ctl/accept.h"
 #include "ctl/context.h"
+#include "ctl/explain.h"
 #include "store/consul.h"
 
 #define WAIT_POLL_US 50000
@@ -253,6 +254,26 @@
 	return BF_CTL_OK;
 }
 
+static int
+run_explain(bf_ctl_context_t *ctx)
+{
+	bf_explain_counts_t counts;
+	bf_error_t err;
+	bf_code_t code;
+
+	if (ctx->arguments.operand == NULL) {
+		fprintf(stderr, "basilctl: explain needs a call's id\n");
+		return BF_CTL_USAGE;
+	}
+	code = bf_explain(
+	    stdin, ctx->arguments.operand, stdout, &counts, &err);
+	if (counts.damaged > 0)
+		fprintf(stderr, "basilctl: %llu of %llu lines skipped\n",
+		    (unsigned long long)counts.damaged,
+		    (unsigned long long)counts.lines);
+	return code == BF_OK ? BF_CTL_OK : bf_ctl_fail(code, &err);
+}
+
 typedef struct command {
 	const char *name;
 	bool settings; /* needs the settings file */
@@ -268,6 +289,7 @@
 	{ "wait", true, run_wait },
 	{ "nodes", true, run_nodes },
 	{ "spans", true, run_spans },
+	{ "explain", false, run_explain },
 	{ "keygen", false, run_keygen },
 };
 
--- a/daemons/basilctl.c
+++ b/daemons/basilctl.c
@@ -110,6 +110,8 @@
 	       "wait          wait until --version is in force everywhere\n"
 	       "nodes         every node with its target\n"
 	       "spans TRACE   the spans of a trace\n"
+	       "explain ID    a call's story from event logs on standard "
+	       "input\n"
 	       "keygen        a new key pair for the control plane\n",
 };
 
