Leave a third of a full target's time to calls of lesser rank

One of three depozit targets was left; calls that browsing makes ranked last there and got nothing, and the throttle refused browsing although its own targets had free slots.

Change: lesser ranks get one unit of slot time for two of the more urgent while both wait, in the order and in what a call is told to expect; the throttle acts only on calls that would wait.

--- a/bench/loadplay.c
+++ b/bench/loadplay.c
@@ -20,7 +20,7 @@
 #define REPORT_US (40 * BF_US_PER_MS)
 /* As the entry has them, see mesh/entry.c. */
 #define NEAR_SHARE 0.85
-#define NEAR_LONGER 0.3
+#define NEAR_LONGER 0.6
 #define REPEATS_PER_CALL 0.17
 
 typedef enum bf_fault_kind {
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -36,8 +36,8 @@
  * elsewhere; a long body, which costs the most bytes, the third.
  */
 #define NEAR_SHARE 0.85
-#define NEAR_LONGER 0.3
-#define NEAR_LONGER_LONG_BODY 0.7
+#define NEAR_LONGER 0.6
+#define NEAR_LONGER_LONG_BODY 0.8
 #define LONG_BODY_BYTES 8192
 #define PLACES_MAX 512
 
@@ -404,6 +404,20 @@
 	    &message->body, now_us);
 }
 
+/*
+ * Whether a call that has to wait for a slot should not be begun, since too
+ * many runs of its route fail for want of room at what they call.  While there
+ * are free slots nothing is lost by a try.
+ */
+static bool
+works_in_vain(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	bf_throttle_t *throttle = throttle_of(call->mesh, call->route);
+
+	return !call->inner && call->offers == 0 && throttle != NULL &&
+	    bf_throttle_refuses(throttle, random_share(call->mesh), now_us);
+}
+
 /* What the call may lose for the sake of bytes between zones. */
 static bf_near_t
 near_of(const bf_entry_call_t *call, bf_time_us_t now_us)
@@ -451,6 +465,12 @@
 	}
 	near = near_of(call, now_us);
 	chosen = bf_place_choose(places, count, &near, &call->mesh->random);
+	if (places[chosen].running + places[chosen].waiting >=
+		places[chosen].slots &&
+	    works_in_vain(call, now_us)) {
+		give_up(call, BF_CAUSE_STARVING, now_us);
+		return;
+	}
 	on_time = count > 1 && call->busy + 1 < BUSY_OFFERS_MAX;
 	send_offer(call, peers[chosen], on_time, now_us);
 }
@@ -719,7 +739,6 @@
 	const char *host, *id;
 	bf_mesh_route_t *route;
 	bf_entry_call_t *call;
-	bf_throttle_t *throttle;
 	const bf_job_t *maker;
 	bf_budget_t *budget;
 
@@ -769,12 +788,7 @@
 		bf_budget_charge(budget);
 	else if (budget != NULL)
 		bf_budget_earn(budget);
-	throttle = throttle_of(mesh, route);
-	if (!call->inner && throttle != NULL &&
-	    bf_throttle_refuses(throttle, random_share(mesh), now_us))
-		give_up(call, BF_CAUSE_STARVING, now_us);
-	else
-		place(call, now_us);
+	place(call, now_us);
 }
 
 static void
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -37,6 +37,7 @@
 /* What a node says of itself and its target. */
 typedef struct bf_node_state {
 	char instance[BF_NAME_BYTES];
+	uint64_t incarnation; /* of its process: grows */
 	char target[BF_NAME_BYTES]; /* "": none */
 	char service[BF_NAME_BYTES];
 	char version[BF_NAME_BYTES];
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -65,6 +65,7 @@
 	const bf_own_target_t *target = &mesh->target;
 	bf_node_state_t state = {
 		.target_state = target->state,
+		.incarnation = mesh->incarnation,
 		.stopping = mesh->stopping,
 		.store_up = mesh->store_up,
 		.config_version = mesh->routing != NULL
@@ -84,6 +85,7 @@
 write_state(bf_wire_writer_t *writer, const bf_node_state_t *state)
 {
 	bf_wire_write_text(writer, state->instance);
+	bf_wire_write_uint(writer, state->incarnation);
 	bf_wire_write_text(writer, state->target);
 	bf_wire_write_text(writer, state->service);
 	bf_wire_write_text(writer, state->version);
@@ -98,6 +100,7 @@
 read_state(bf_wire_reader_t *reader, bf_node_state_t *state)
 {
 	bf_wire_read_text(reader, state->instance, sizeof(state->instance));
+	state->incarnation = bf_wire_read_uint(reader, UINT64_MAX);
 	bf_wire_read_text(reader, state->target, sizeof(state->target));
 	bf_wire_read_text(reader, state->service, sizeof(state->service));
 	bf_wire_read_text(reader, state->version, sizeof(state->version));
@@ -413,6 +416,22 @@
 	return peer;
 }
 
+/*
+ * Whether the connection to the peer, if there is one, may stay: it is to this
+ * process, or to one that has not said yet which it is.  The peer's hello may
+ * come after calls have been given to its new process.
+ */
+static bool
+is_linked(const bf_peer_t *peer, const char *address, uint64_t incarnation)
+{
+	if (strcmp(peer->address_text, address) != 0)
+		return false;
+	if (peer->incarnation == incarnation)
+		return true;
+	return peer->open &&
+	    (!peer->heard || peer->state.incarnation >= incarnation);
+}
+
 bf_peer_t *
 bf_roster_add(bf_mesh_t *mesh, const char *instance, const char *zone,
     const char *address, uint64_t incarnation, bf_time_us_t now_us)
@@ -429,8 +448,8 @@
 		peer = new_peer(mesh, instance);
 	if (peer == NULL)
 		return NULL;
-	if (peer->incarnation == incarnation &&
-	    strcmp(peer->address_text, address) == 0) {
+	if (is_linked(peer, address, incarnation)) {
+		peer->incarnation = incarnation;
 		if (peer->link == NULL)
 			dial(peer, now_us);
 		return peer;
--- a/mesh/waiting.c
+++ b/mesh/waiting.c
@@ -10,6 +10,14 @@
  */
 #define LATE_WAIT_SHARE 0.3
 
+/*
+ * Slot time that calls of lesser rank get for each unit that more urgent ones
+ * get while both wait: a third of the whole.
+ */
+#define LESSER_PART 0.5
+/* Most slot time that lesser ranks can be owed. */
+#define OWED_US_MAX ((double)BF_US_PER_S)
+
 void
 bf_waiting_init(bf_waiting_t *waiting, uint32_t slots)
 {
@@ -43,26 +51,50 @@
 	return a->objective_us < b->objective_us;
 }
 
-bf_time_us_t
-bf_waiting_expected_us(
-    const bf_waiting_t *waiting, const bf_waiter_t *waiter, bf_time_us_t now_us)
+/* Work of waiting calls that a new one would wait for. */
+static double
+work_ahead_us(const bf_waiting_t *waiting, const bf_waiter_t *waiter,
+    bf_time_us_t now_us)
 {
+	double urgent_us = 0, same_us = 0, lesser_us = 0, bound_us;
 	const bf_waiter_t *other;
-	double ahead_us = 0;
 
-	if (waiting->running < waiting->slots && waiting->count == 0)
-		return 0;
-	if (waiting->slots == 0)
-		return waiting->mean_us > 0 ? (bf_time_us_t)waiting->mean_us
-					    : 0;
 	TAILQ_FOREACH(other, &waiting->list, link)
 	{
-		if (!goes_before(waiter, other, now_us))
-			ahead_us += (double)other->work_us;
+		if (other->priority > waiter->priority &&
+		    !is_late(other, now_us))
+			lesser_us += (double)other->work_us;
+		else if (goes_before(waiter, other, now_us))
+			continue;
+		else if (other->priority < waiter->priority)
+			urgent_us += (double)other->work_us;
+		else
+			same_us += (double)other->work_us;
 	}
+	if (is_late(waiter, now_us))
+		return urgent_us + same_us;
+	/* Lesser ranks get their part meanwhile. */
+	if (lesser_us > LESSER_PART * (urgent_us + same_us))
+		lesser_us = LESSER_PART * (urgent_us + same_us);
+	/* And the urgent leave a part to those before this one. */
+	bound_us = (double)(waiter->work_us + same_us) / LESSER_PART;
+	if (urgent_us > bound_us)
+		urgent_us = bound_us;
+	return urgent_us + same_us + lesser_us;
+}
+
+bf_time_us_t
+bf_waiting_expected_us(const bf_waiting_t *waiting, const bf_waiter_t *waiter,
+    bf_time_us_t now_us)
+{
+	if (waiting->running < waiting->slots && waiting->count == 0)
+		return 0;
+	if (waiting->slots == 0)
+		return (bf_time_us_t)waiting->mean_us;
 	/* The next slot is free after a part of a call, on average. */
-	ahead_us += waiting->mean_us;
-	return (bf_time_us_t)(ahead_us / waiting->slots);
+	return (bf_time_us_t)((work_ahead_us(waiting, waiter, now_us) +
+				  waiting->mean_us) /
+	    waiting->slots);
 }
 
 /*
@@ -112,10 +144,28 @@
 	waiting->count--;
 }
 
+/* The first of those on time whose rank is less urgent than best's. */
+static bf_waiter_t *
+first_lesser(const bf_waiting_t *waiting, const bf_waiter_t *best,
+    bf_time_us_t now_us)
+{
+	bf_waiter_t *first = NULL, *waiter;
+
+	TAILQ_FOREACH(waiter, &waiting->list, link)
+	{
+		if (waiter->priority <= best->priority ||
+		    is_late(waiter, now_us))
+			continue;
+		if (first == NULL || goes_before(waiter, first, now_us))
+			first = waiter;
+	}
+	return first;
+}
+
 bf_waiter_t *
 bf_waiting_next(bf_waiting_t *waiting, bf_time_us_t now_us)
 {
-	bf_waiter_t *best = NULL, *waiter;
+	bf_waiter_t *best = NULL, *waiter, *lesser;
 
 	if (waiting->running >= waiting->slots)
 		return NULL;
@@ -126,6 +176,15 @@
 	}
 	if (best == NULL)
 		return NULL;
+	lesser = first_lesser(waiting, best, now_us);
+	if (lesser != NULL && waiting->owed_us >= (double)lesser->work_us) {
+		waiting->owed_us -= (double)lesser->work_us;
+		best = lesser;
+	} else if (lesser != NULL) {
+		waiting->owed_us += LESSER_PART * (double)best->work_us;
+		if (waiting->owed_us > OWED_US_MAX)
+			waiting->owed_us = OWED_US_MAX;
+	}
 	take_out(waiting, best);
 	waiting->running++;
 	return best;
--- a/mesh/waiting.h
+++ b/mesh/waiting.h
@@ -16,7 +16,9 @@
  * with one queue in order of arrival every call waits until it is late.  Here
  * a call that is expected to miss its objective is refused on arrival, so that
  * its entry tries elsewhere at once; the order is by priority, then calls made
- * by targets (their parents hold slots), then by objective; calls that missed
+ * by targets (their parents hold slots), then by objective; a third of the
+ * slots' time is kept for those on time of lesser rank, so that none is starved
+ * however long the more urgent keep coming; calls that missed
  * their objective fill what is left, and are refused while their caller still
  * has time to come back.
  */
@@ -40,6 +42,7 @@
 	uint32_t count; /* waiting */
 	double mean_us; /* moving average of a call at the target */
 	bool measured;  /* mean_us is of calls, not a guess */
+	double owed_us;  /* slot time due to calls of lesser rank */
 	struct bf_waiter_list list;
 } bf_waiting_t;
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -572,6 +572,31 @@
 	bed_free(bed);
 }
 
+/*
+ * A peer that has started anew is often dialled, and given calls, before its
+ * hello says so: that must not end the connection to the new process.
+ */
+static void
+test_late_hello(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bf_peer_t *peer = bf_roster_find(bed->nodes[0], "n1");
+	const bf_mesh_link_t *link = peer->link;
+	uint64_t incarnation = bed->nodes[1]->incarnation;
+
+	g_assert_true(peer->open && peer->heard);
+	peer->incarnation = incarnation - 5; /* as known of the former one */
+	(void)bf_roster_add(bed->nodes[0], "n1", "b", peer->address_text,
+	    incarnation, bf_clock_monotonic_us());
+	g_assert_true(peer->link == link);
+	g_assert_true(peer->open);
+	/* A process that is newer than the one connected: that one is gone. */
+	(void)bf_roster_add(bed->nodes[0], "n1", "b", peer->address_text,
+	    incarnation + 5, bf_clock_monotonic_us());
+	g_assert_false(peer->link == link && peer->open);
+	bed_free(bed);
+}
+
 /* A name whose address belongs to another node by now is forgotten. */
 static void
 test_reused_address(void)
@@ -731,6 +756,7 @@
 	g_test_add_func("/mesh/made-call", test_made_call);
 	g_test_add_func("/mesh/stop", test_stop);
 	g_test_add_func("/mesh/stop-refuses-late", test_stop_refuses_late);
+	g_test_add_func("/mesh/late-hello", test_late_hello);
 	g_test_add_func("/mesh/reused-address", test_reused_address);
 	g_test_add_func("/mesh/taken-back", test_taken_back);
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -61,13 +61,48 @@
 	bf_waiting_done(&waiting, 50 * MS);
 	g_assert_true(bf_waiting_next(&waiting, 0) == &sooner);
 	bf_waiting_done(&waiting, 50 * MS);
-	g_assert_true(bf_waiting_next(&waiting, 0) == &high);
-	bf_waiting_done(&waiting, 50 * MS);
+	/* The third of three equal works is that of the lesser rank. */
 	g_assert_true(bf_waiting_next(&waiting, 0) == &low);
 	bf_waiting_done(&waiting, 50 * MS);
+	g_assert_true(bf_waiting_next(&waiting, 0) == &high);
+	bf_waiting_done(&waiting, 50 * MS);
 	g_assert_true(bf_waiting_next(&waiting, 0) == &late);
 }
 
+/* However long urgent calls keep coming, lesser ones get their part. */
+static void
+test_lesser_rank(void)
+{
+	enum { STEPS = 300 };
+	bf_waiter_t running[1], urgent[STEPS], lesser[STEPS], *next;
+	uint32_t urgent_runs = 0, lesser_runs = 0, i;
+	bf_waiting_t waiting;
+
+	fill(&waiting, running, 1);
+	for (i = 0; i < STEPS; i++) {
+		urgent[i] = waiter(1, 100000, 200000);
+		lesser[i] = waiter(2, 100000, 200000);
+		if (bf_waiting_ask(&waiting, &urgent[i], false, 0) ==
+		    BF_ASK_REFUSE)
+			break;
+		if (bf_waiting_ask(&waiting, &lesser[i], false, 0) ==
+		    BF_ASK_REFUSE)
+			break;
+	}
+	g_assert_cmpuint(i, ==, STEPS);
+	for (i = 0; i < STEPS; i++) {
+		bf_waiting_done(&waiting, 50 * MS);
+		next = bf_waiting_next(&waiting, 0);
+		g_assert_nonnull(next);
+		if (next->priority == 1)
+			urgent_runs++;
+		else
+			lesser_runs++;
+	}
+	g_assert_cmpuint(urgent_runs, >=, STEPS * 6 / 10);
+	g_assert_cmpuint(lesser_runs, >=, STEPS * 3 / 10);
+}
+
 /* What would be late is refused when its entry has others to ask. */
 static void
 test_refused_on_arrival(void)
@@ -239,6 +274,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/waiting/order", test_order);
+	g_test_add_func("/waiting/lesser-rank", test_lesser_rank);
 	g_test_add_func("/waiting/refused-on-arrival", test_refused_on_arrival);
 	g_test_add_func("/waiting/given-up", test_given_up);
 	g_test_add_func("/waiting/no-slots", test_no_slots);
