Ask one peer at a time for a newer configuration

Cause: on the grown Parfumeria (85 nodes, 10 Mbit/s links) every node asked every peer that told of a newer version, 52 KB each: 0.89 GB between zones, links full, 0.25 of the calls failed, CONFIG and LOST broken.

Ruled out: load reports (0.0111 core a node afterwards, with all of them).

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -76,7 +76,7 @@
 	bool unproven; /* see bf_movement_saw */
 	bf_node_state_t state;
 	uint32_t sent; /* calls since the last report */
-	bf_time_us_t asked_config_us;
+	bf_time_us_t newer_us; /* since when its configuration is newer */
 
 	/* Runs of its target; what was there when a move began. */
 	bf_run_tallies_t runs;
@@ -268,6 +268,7 @@
 	bf_routing_t *routing; /* NULL: none known yet */
 	bf_bytes_t config;     /* as it was written, for peers */
 	bf_time_us_t config_us;
+	bf_time_us_t ask_config_us; /* no peer is asked before */
 
 	/* Nodes. */
 	bf_peer_t *peers; /* the first is this node */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -22,7 +22,9 @@
 /* A peer that neither the store lists nor answers is forgotten after this. */
 #define FORGET_US (5 * BF_US_PER_S)
 /* A newer configuration elsewhere is asked for after this much patience. */
-#define CONFIG_PATIENCE_US (100 * BF_US_PER_MS)
+#define CONFIG_PATIENCE_US (200 * BF_US_PER_MS)
+/* The next peer is asked after one to two of these. */
+#define CONFIG_AGAIN_US (300 * BF_US_PER_MS)
 
 static void dial(bf_peer_t *peer, bf_time_us_t now_us);
 static void forget(bf_peer_t *peer, bf_time_us_t now_us);
@@ -179,7 +181,10 @@
 	peer->sent = 0;
 }
 
-/* Asks for a newer configuration, should the store not bring it. */
+/*
+ * Asks for a newer configuration, should the store not bring it: one peer at a
+ * time, as a configuration is large and all peers tell of it at once.
+ */
 static void
 ask_config(bf_peer_t *peer, bf_time_us_t now_us)
 {
@@ -188,14 +193,16 @@
 
 	version = mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0;
 	if (peer->state.config_version <= version) {
-		peer->asked_config_us = 0;
+		peer->newer_us = 0;
 		return;
 	}
-	if (peer->asked_config_us == 0)
-		peer->asked_config_us = now_us;
-	if (now_us - peer->asked_config_us < CONFIG_PATIENCE_US)
+	if (peer->newer_us == 0)
+		peer->newer_us = now_us;
+	if (now_us - peer->newer_us < CONFIG_PATIENCE_US ||
+	    now_us < mesh->ask_config_us)
 		return;
-	peer->asked_config_us = now_us + BF_US_PER_S;
+	mesh->ask_config_us = now_us + CONFIG_AGAIN_US +
+	    (bf_time_us_t)(bf_place_random(&mesh->random) % CONFIG_AGAIN_US);
 	bf_mesh_link_send(
 	    peer->link, BF_FRAME_CONFIG_GET, 0, NULL, NULL, now_us);
 }
