Keep what left in the own entry; gather changes before the next watch

Ruled out: the queue (the call came 2.4 s after the acknowledgement); ranks of nodes that alone follow the store: on 10 Mbit/s links they would have to hand out large configurations.

Change: the own entry in the store names the target that left, and a new process reads it when it takes the entry over. After a change the next watch of the store begins 0.4 s later, pauses after failures grow to 1.5 s, and peers are asked for a newer configuration after 0.9 s.

--- a/bench/loadplay.h
+++ b/bench/loadplay.h
@@ -20,7 +20,7 @@
 	BF_POLICY_STALE_LEAST, /* least loaded by the entry's reports */
 	BF_POLICY_ROUND_ROBIN,
 	BF_POLICY_RANDOM,
-	BF_POLICY_PERFECT,     /* one place that knows every target's state */
+	BF_POLICY_PERFECT, /* one place that knows every target's state */
 	BF_POLICY_COUNT
 } bf_policy_t;
 
--- a/ctl/command.c
+++ b/ctl/command.c
@@ -265,8 +265,7 @@
 		fprintf(stderr, "basilctl: explain needs a call's id\n");
 		return BF_CTL_USAGE;
 	}
-	code = bf_explain(
-	    stdin, ctx->arguments.operand, stdout, &counts, &err);
+	code = bf_explain(stdin, ctx->arguments.operand, stdout, &counts, &err);
 	if (counts.damaged > 0)
 		fprintf(stderr, "basilctl: %llu of %llu lines skipped\n",
 		    (unsigned long long)counts.damaged,
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -334,8 +334,7 @@
 	int which;
 
 	which = bf_movement_choose(call->mesh, call->service, &version);
-	count = list_places(
-	    call, version, which, false, places, peers, now_us);
+	count = list_places(call, version, which, false, places, peers, now_us);
 	if (count == 0 && which > 0)
 		count = list_places(
 		    call, version, -which, false, places, peers, now_us);
@@ -422,8 +421,8 @@
 static bf_near_t
 near_of(const bf_entry_call_t *call, bf_time_us_t now_us)
 {
-	bool is_long = bf_bytes_count(&call->request->message->body) >
-	    LONG_BODY_BYTES;
+	bool is_long =
+	    bf_bytes_count(&call->request->message->body) > LONG_BODY_BYTES;
 	double left_us = (double)(call->objective_us - now_us);
 
 	if (left_us < 0)
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -37,7 +37,7 @@
 /* What a node says of itself and its target. */
 typedef struct bf_node_state {
 	char instance[BF_NAME_BYTES];
-	uint64_t incarnation; /* of its process: grows */
+	uint64_t incarnation;       /* of its process: grows */
 	char target[BF_NAME_BYTES]; /* "": none */
 	char service[BF_NAME_BYTES];
 	char version[BF_NAME_BYTES];
@@ -73,9 +73,9 @@
 	bool listed;             /* in the last list of the store */
 	bf_time_us_t missing_us; /* since when neither listed nor open */
 	bool heard;              /* state is known */
-	bool unproven; /* see bf_movement_saw */
+	bool unproven;           /* see bf_movement_saw */
 	bf_node_state_t state;
-	uint32_t sent; /* calls since the last report */
+	uint32_t sent;         /* calls since the last report */
 	bf_time_us_t newer_us; /* since when its configuration is newer */
 
 	/* Runs of its target; what was there when a move began. */
@@ -171,9 +171,11 @@
 	bf_heartbeat_t beat;
 	bf_target_state_t state;
 	bf_time_us_t heard_us;
-	bf_time_us_t warm_us; /* cold until then */
-	bf_time_us_t down_us; /* not tried until then, after a refusal */
-	bool left;            /* it said that it goes, for good */
+	bf_time_us_t warm_us;        /* cold until then */
+	bf_time_us_t down_us;        /* not tried until then, after a refusal */
+	bool left;                   /* it said that it goes, for good */
+	char left_id[BF_NAME_BYTES]; /* the last that said so, also before */
+	uint64_t left_born_ms;       /* this process began */
 	bf_http_client_t client;
 	bf_waiting_t waiting;
 	bf_route_work_t works[BF_ROUTE_WORKS];
@@ -285,6 +287,7 @@
 	uint64_t lease;
 	uint64_t member_revision;
 	uint32_t member_failures;
+	bool member_dirty; /* the own entry is to be written again */
 	bf_time_us_t listed_us;
 	char list_after[BF_NAME_BYTES * 2];
 	bool store_up;
@@ -332,6 +335,8 @@
 /* mesh/registry.c: the own entry in the store, and the list of the others. */
 void bf_registry_start(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_registry_stop(bf_mesh_t *mesh);
+/* What the own entry says has changed. */
+void bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_mesh_store_called(
     bf_mesh_t *mesh, const char *what, bf_code_t code, bf_time_us_t now_us);
 
@@ -356,8 +361,8 @@
  * no move's, or its move says what it gets.  A node may be slow to hear of an
  * order while the targets that it is about are ready.
  */
-bool bf_movement_saw(bf_mesh_t *mesh, const char *service,
-    const char *version, bf_time_us_t now_us);
+bool bf_movement_saw(bf_mesh_t *mesh, const char *service, const char *version,
+    bf_time_us_t now_us);
 /* All orders were read, by a list that began then. */
 void bf_movement_listed(bf_mesh_t *mesh, bf_time_us_t began_us);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -182,8 +182,8 @@
 	}
 	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
 		if (peer->unproven)
-			peer->unproven = bf_movement_saw(mesh,
-			    peer->state.service, peer->state.version, 0);
+			peer->unproven = bf_movement_saw(
+			    mesh, peer->state.service, peer->state.version, 0);
 	}
 	if (mesh->peers->unproven)
 		mesh->peers->unproven = bf_movement_saw(mesh,
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -7,6 +7,10 @@
  * The own entry in the store, under a lease, and the list of the others.  The
  * entry is written before the list is read: of two nodes that start together
  * at least one then sees the other, and dials it.
+ *
+ * The entry also says which target of this node has left: a target goes on
+ * serving for seconds after it said so, and this process may be followed by
+ * another that was not told.
  */
 
 #define LEASE_TTL_MS 6000
@@ -44,8 +48,11 @@
 	json_t *entry;
 
 	own_key(mesh, key, sizeof(key));
-	entry = json_pack("{s:s,s:s,s:I}", "address", self->address_text,
-	    "zone", self->zone, "incarnation", (json_int_t)self->incarnation);
+	entry = json_pack("{s:s,s:s,s:I,s:s,s:I}", "address",
+	    self->address_text, "zone", self->zone, "incarnation",
+	    (json_int_t)self->incarnation, "left", mesh->target.left_id,
+	    "left_born_ms", (json_int_t)mesh->target.left_born_ms);
+	mesh->member_dirty = false;
 	write.data_bytes = json_dumpb(entry, data, sizeof(data), JSON_COMPACT);
 	json_decref(entry);
 	mesh->kv->vtable->write(
@@ -77,6 +84,26 @@
 	}
 }
 
+/* The own entry as a former process of this node left it. */
+static void
+take_former(bf_mesh_t *mesh, const bf_kv_item_t *item)
+{
+	json_int_t born_ms;
+	const char *left;
+	json_t *entry;
+
+	entry = json_loadb(item->data, item->data_bytes, 0, NULL);
+	if (mesh->target.left_id[0] == '\0' &&
+	    json_unpack(entry, "{s:s,s:I}", "left", &left, "left_born_ms",
+		&born_ms) == 0 &&
+	    strlen(left) < BF_NAME_BYTES) {
+		(void)snprintf(mesh->target.left_id,
+		    sizeof(mesh->target.left_id), "%s", left);
+		mesh->target.left_born_ms = (uint64_t)born_ms;
+	}
+	json_decref(entry);
+}
+
 /* An entry of the list; one that cannot be read names nobody. */
 static void
 take_entry(bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
@@ -182,11 +209,15 @@
 	case BF_OK:
 		mesh->member_failures = 0;
 		take_success(mesh, reply, now_us);
+		if (mesh->member_dirty)
+			bf_registry_update(mesh, now_us);
 		return;
 	case BF_ERR_CONFLICT:
 		/* An entry of a former process, or an earlier write of ours. */
 		mesh->member_revision =
 		    reply->item_count > 0 ? reply->items[0].revision : 0;
+		if (reply->item_count > 0 && reply->items[0].data != NULL)
+			take_former(mesh, &reply->items[0]);
 		next_call(mesh, now_us);
 		return;
 	case BF_ERR_NOT_FOUND:
@@ -211,6 +242,20 @@
 	next_call(BF_CONTAINER(timer, bf_mesh_t, member_timer), now_us);
 }
 
+void
+bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	mesh->member_dirty = true;
+	/* A call under way is followed by the write. */
+	if (mesh->member_call.state != NULL || mesh->lease == 0)
+		return;
+	if (mesh->member_step != BF_MEMBER_RENEW)
+		return;
+	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
+	mesh->member_step = BF_MEMBER_WRITE;
+	next_call(mesh, now_us);
+}
+
 void
 bf_registry_start(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -21,8 +21,11 @@
 #define DIAL_US BF_US_PER_S
 /* A peer that neither the store lists nor answers is forgotten after this. */
 #define FORGET_US (5 * BF_US_PER_S)
-/* A newer configuration elsewhere is asked for after this much patience. */
-#define CONFIG_PATIENCE_US (200 * BF_US_PER_MS)
+/*
+ * A newer configuration elsewhere is asked for after this much patience: over
+ * twice the pause between watches of the store, which brings most of them.
+ */
+#define CONFIG_PATIENCE_US (900 * BF_US_PER_MS)
 /* The next peer is asked after one to two of these. */
 #define CONFIG_AGAIN_US (300 * BF_US_PER_MS)
 
@@ -222,8 +225,8 @@
 		    (int)state->target_state, "stopping", (int)state->stopping,
 		    "config_version", (json_int_t)state->config_version);
 	peer->heard = true;
-	peer->unproven = bf_movement_saw(
-	    peer->mesh, state->service, state->version, now_us);
+	peer->unproven =
+	    bf_movement_saw(peer->mesh, state->service, state->version, now_us);
 	ask_config(peer, now_us);
 }
 
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -16,6 +16,11 @@
 #define WATCH_MS_MIN 3000
 #define WATCH_MS_MAX 15000
 #define WATCH_PEER_MS 600
+/*
+ * Changes often come in series; a watch begun this much later answers for
+ * several of them.  A fifth of the time in which a change must be in force.
+ */
+#define GATHER_US (400 * BF_US_PER_MS)
 
 static void
 put_in_force(bf_mesh_t *mesh, bf_routing_t *routing, const void *data,
@@ -126,6 +131,7 @@
 		.loop = mesh->loop,
 		.prefix = mesh->dialect->operator_prefix,
 		.wait_ms = WATCH_MS_MIN,
+		.gather_us = GATHER_US,
 		.random = bf_place_random(&mesh->random),
 	};
 	bf_follow_start(&mesh->follow, now_us);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -764,7 +764,12 @@
 	target->warm_us = now_us + beat->warm_up_ms * BF_US_PER_MS;
 	mesh->peers->unproven =
 	    bf_movement_saw(mesh, beat->service, beat->version, now_us);
-	state = beat->draining ? BF_TARGET_DRAINING : BF_TARGET_READY;
+	/* It may have said so to a former process of this node. */
+	if (strcmp(target->left_id, beat->id) == 0 &&
+	    target->left_born_ms == beat->born_ms)
+		target->left = true;
+	state = beat->draining || target->left ? BF_TARGET_DRAINING
+					       : BF_TARGET_READY;
 	if (state == target->state)
 		return BF_OK;
 	target->state = state;
@@ -787,6 +792,9 @@
 	if (strcmp(target->beat.id, id) != 0 || target->left)
 		return;
 	target->left = true;
+	memcpy(target->left_id, target->beat.id, sizeof(target->left_id));
+	target->left_born_ms = target->beat.born_ms;
+	bf_registry_update(mesh, now_us);
 	if (target->state == BF_TARGET_READY)
 		target->state = BF_TARGET_DRAINING;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target", id,
--- a/mesh/waiting.c
+++ b/mesh/waiting.c
@@ -53,8 +53,8 @@
 
 /* Work of waiting calls that a new one would wait for. */
 static double
-work_ahead_us(const bf_waiting_t *waiting, const bf_waiter_t *waiter,
-    bf_time_us_t now_us)
+work_ahead_us(
+    const bf_waiting_t *waiting, const bf_waiter_t *waiter, bf_time_us_t now_us)
 {
 	double urgent_us = 0, same_us = 0, lesser_us = 0, bound_us;
 	const bf_waiter_t *other;
@@ -84,8 +84,8 @@
 }
 
 bf_time_us_t
-bf_waiting_expected_us(const bf_waiting_t *waiting, const bf_waiter_t *waiter,
-    bf_time_us_t now_us)
+bf_waiting_expected_us(
+    const bf_waiting_t *waiting, const bf_waiter_t *waiter, bf_time_us_t now_us)
 {
 	if (waiting->running < waiting->slots && waiting->count == 0)
 		return 0;
@@ -146,8 +146,8 @@
 
 /* The first of those on time whose rank is less urgent than best's. */
 static bf_waiter_t *
-first_lesser(const bf_waiting_t *waiting, const bf_waiter_t *best,
-    bf_time_us_t now_us)
+first_lesser(
+    const bf_waiting_t *waiting, const bf_waiter_t *best, bf_time_us_t now_us)
 {
 	bf_waiter_t *first = NULL, *waiter;
 
--- a/mesh/waiting.h
+++ b/mesh/waiting.h
@@ -42,7 +42,7 @@
 	uint32_t count; /* waiting */
 	double mean_us; /* moving average of a call at the target */
 	bool measured;  /* mean_us is of calls, not a guess */
-	double owed_us;  /* slot time due to calls of lesser rank */
+	double owed_us; /* slot time due to calls of lesser rank */
 	struct bf_waiter_list list;
 } bf_waiting_t;
 
--- a/store/follow.c
+++ b/store/follow.c
@@ -4,7 +4,7 @@
 #include "store/follow.h"
 
 #define PAUSE_FIRST_US (50 * BF_US_PER_MS)
-#define PAUSE_MAX_US BF_US_PER_S
+#define PAUSE_MAX_US (1500 * BF_US_PER_MS)
 
 static uint64_t
 next_random(uint64_t *random)
@@ -89,14 +89,20 @@
 on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_follow_t *follow = BF_CONTAINER(call, bf_follow_t, call);
+	bool changed;
 
 	if (follow->vtable->called != NULL)
 		follow->vtable->called(follow, reply->code, now_us);
 	switch (reply->code) {
 	case BF_OK:
 		follow->failures = 0;
+		changed = !follow->listing && reply->item_count > 0;
 		take_items(follow, reply, now_us);
-		next_call(follow, now_us);
+		if (changed && !follow->listing)
+			bf_loop_timer(follow->loop, &follow->retry,
+			    now_us + follow->gather_us);
+		else
+			next_call(follow, now_us);
 		return;
 	case BF_ERR_STALE:
 		begin_list(follow);
--- a/store/follow.h
+++ b/store/follow.h
@@ -27,8 +27,9 @@
 	bf_kv_t *kv;
 	bf_loop_t *loop;
 	const char *prefix;
-	uint32_t wait_ms; /* longest wait of a watch */
-	uint64_t random;  /* state of the generator for jitter, not 0 */
+	uint32_t wait_ms;       /* longest wait of a watch */
+	bf_time_us_t gather_us; /* pause after a change: more may follow */
+	uint64_t random;        /* state of the generator for jitter, not 0 */
 
 	/* Private. */
 	bf_kv_call_t call;
@@ -50,7 +51,7 @@
 void bf_follow_refresh(bf_follow_t *follow, bf_time_us_t now_us);
 
 /*
- * The pause after that many failures in a row: doubles from 50 ms to 1 s, of
+ * The pause after that many failures in a row: doubles from 50 ms to 1.5 s, of
  * which a random part is taken off so that nodes do not return together.
  */
 bf_time_us_t bf_follow_pause_us(uint32_t failures, uint64_t *random);
