--- a/node/api.c
+++ b/node/api.c
@@ -211,7 +211,7 @@
 	return BF_OK;
 }
 
-/* GET /v1/record?move=ID: for a replay, see docs/operators.md. */
+/* GET /v1/record?move=ID: for a replay, see docs/OPERATIONS.md. */
 static bf_code_t
 handle_record(void *ctx, const bf_admin_request_t *request,
     bf_admin_reply_t *reply, bf_error_t *err)
