--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -3,6 +3,8 @@
 #include <string.h>
 #include <strings.h>
 
+#include <apr_tables.h>
+
 #include "mesh/internal.h"
 
 /*
@@ -623,26 +625,30 @@
 bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = peer->mesh;
-	bf_entry_call_t *call, **lost;
+	bf_entry_call_t *call;
+	apr_array_header_t *lost;
+	apr_pool_t *pool;
 	apr_hash_index_t *at;
-	size_t count = 0, i;
+	int i;
 
-	lost = calloc(apr_hash_count(mesh->calls) + 1, sizeof(*lost));
-	if (lost == NULL)
+	if (apr_pool_create(&pool, mesh->pool) != APR_SUCCESS)
 		return;
-	for (at = apr_hash_first(NULL, mesh->calls); at != NULL;
+	/* Collected first: ending a call changes the table. */
+	lost = apr_array_make(pool, 16, sizeof(bf_entry_call_t *));
+	for (at = apr_hash_first(pool, mesh->calls); at != NULL;
 	     at = apr_hash_next(at)) {
 		call = apr_hash_this_val(at);
 		/* A silent node may still answer what must not run twice. */
 		if (call->peer == peer &&
 		    (gone || bf_route_repeatable(call->route)))
-			lost[count++] = call;
+			APR_ARRAY_PUSH(lost, bf_entry_call_t *) = call;
 	}
-	for (i = 0; i < count; i++) {
-		cancel_offer(lost[i], now_us);
-		take_unknown(lost[i], BF_CAUSE_PEER_LOST, now_us);
+	for (i = 0; i < lost->nelts; i++) {
+		call = APR_ARRAY_IDX(lost, i, bf_entry_call_t *);
+		cancel_offer(call, now_us);
+		take_unknown(call, BF_CAUSE_PEER_LOST, now_us);
 	}
-	free(lost);
+	apr_pool_destroy(pool);
 }
 
 static void
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -273,7 +273,8 @@
 	bf_time_us_t ask_config_us; /* no peer is asked before */
 
 	/* Nodes. */
-	bf_peer_t *peers; /* the first is this node */
+	bf_peer_t *peers; /* this node is one of them */
+	bf_peer_t *self;
 	uint32_t peer_count;
 	bf_inbound_t *inbound;
 	bf_node_state_t told; /* as the peers were told last */
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -185,8 +185,8 @@
 			peer->unproven = bf_movement_saw(
 			    mesh, peer->state.service, peer->state.version, 0);
 	}
-	if (mesh->peers->unproven)
-		mesh->peers->unproven = bf_movement_saw(mesh,
+	if (mesh->self->unproven)
+		mesh->self->unproven = bf_movement_saw(mesh,
 		    mesh->target.beat.service, mesh->target.beat.version, 0);
 }
 
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -39,7 +39,7 @@
 static void
 write_entry(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	const bf_peer_t *self = mesh->peers;
+	const bf_peer_t *self = mesh->self;
 	char key[2 * BF_NAME_BYTES], data[ENTRY_BYTES];
 	bf_kv_write_t write = { .key = key,
 		.data = data,
@@ -153,11 +153,11 @@
 	mesh->listed_us = now_us;
 	/* The entry may be gone although its lease lives. */
 	mesh->member_step =
-	    mesh->peers->listed ? BF_MEMBER_RENEW : BF_MEMBER_WRITE;
-	if (!mesh->peers->listed)
+	    mesh->self->listed ? BF_MEMBER_RENEW : BF_MEMBER_WRITE;
+	if (!mesh->self->listed)
 		mesh->member_revision = 0;
 	bf_loop_timer(mesh->loop, &mesh->member_timer,
-	    now_us + (mesh->peers->listed ? RENEW_US : 0));
+	    now_us + (mesh->self->listed ? RENEW_US : 0));
 }
 
 static void
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -79,7 +79,7 @@
 		.load = bf_target_load(mesh, now_us),
 	};
 
-	memcpy(state.instance, mesh->peers->instance, sizeof(state.instance));
+	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
 	memcpy(state.target, target->beat.id, sizeof(state.target));
 	memcpy(state.service, target->beat.service, sizeof(state.service));
 	memcpy(state.version, target->beat.version, sizeof(state.version));
@@ -363,7 +363,7 @@
 {
 	bf_peer_t *peer = link->owner;
 	bf_mesh_t *mesh = peer->mesh;
-	const bf_peer_t *self = mesh->peers;
+	const bf_peer_t *self = mesh->self;
 
 	peer->open = true;
 	peer->silent = false;
@@ -468,7 +468,7 @@
 	(void)snprintf(
 	    peer->address_text, sizeof(peer->address_text), "%s", address);
 	peer->address = parsed;
-	peer->near = strcmp(zone, mesh->peers->zone) == 0;
+	peer->near = strcmp(zone, mesh->self->zone) == 0;
 	/* A new process: what its former one had in hand is lost. */
 	if (peer->link != NULL)
 		lose_link(peer, "the node has started anew", now_us);
@@ -747,6 +747,7 @@
 	self = new_peer(mesh, mesh->options.instance);
 	if (self == NULL)
 		return bf_error_set(err, BF_ERR_MEMORY, "no memory");
+	mesh->self = self;
 	self->self = true;
 	self->near = true;
 	self->heard = true;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -675,7 +675,7 @@
 	bf_time_us_t patience_us;
 
 	patience_us =
-	    HEARTBEATS_MISSED * mesh->options.heartbeat_ms * BF_US_PER_MS +
+	    HEARTBEATS_MISSED * BF_US_PER_MS * mesh->options.heartbeat_ms +
 	    HEARTBEAT_SLACK_US;
 	if (target->state == BF_TARGET_ABSENT ||
 	    now_us - target->heard_us < patience_us)
@@ -762,7 +762,7 @@
 	target->beat = *beat;
 	target->heard_us = now_us;
 	target->warm_us = now_us + beat->warm_up_ms * BF_US_PER_MS;
-	mesh->peers->unproven =
+	mesh->self->unproven =
 	    bf_movement_saw(mesh, beat->service, beat->version, now_us);
 	/* It may have said so to a former process of this node. */
 	if (strcmp(target->left_id, beat->id) == 0 &&
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -274,7 +274,7 @@
 		refused++;
 	}
 	g_assert_cmpuint(bed->targets[0].running_most, <=, BED_SLOTS);
-	g_assert_cmpuint(served, >=, 2 * BED_SLOTS);
+	g_assert_cmpuint(served, >=, UINT64_C(2) * BED_SLOTS);
 	g_assert_cmpuint(refused, >, 0);
 	bed_free(bed);
 }
@@ -737,7 +737,7 @@
 	/* All orders read, and none of them is about it. */
 	bed->store.down = false;
 	bed_run(bed, 2 * BF_US_PER_S);
-	g_assert_false(bed->nodes[0]->peers->next->unproven);
+	g_assert_false(bf_roster_find(bed->nodes[0], "n1")->unproven);
 	bed_free(bed);
 }
 
--- a/tests/test_mesh_move.c
+++ b/tests/test_mesh_move.c
@@ -91,7 +91,7 @@
     uint32_t bad_route)
 {
 	while (world->move.state == BF_MOVE_ACTIVE &&
-	    world->now_us < 2 * DURATION_MS * MS)
+	    world->now_us < 2 * MS * DURATION_MS)
 		(void)step(world, old_version, new_version, bad_route);
 }
 
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -240,7 +240,7 @@
 		counts[bf_place_choose(places, PLACES, &near, &random)]++;
 	for (i = 0; i < PLACES; i++) {
 		g_assert_cmpuint(counts[i], >, CALLS / PLACES / 2);
-		g_assert_cmpuint(counts[i], <, CALLS / PLACES * 3);
+		g_assert_cmpuint(counts[i], <, 3U * CALLS / PLACES);
 	}
 }
 
