Serve a target during its node's stop, and from its next process at once

Change: peers are told 1.2 s after the signal, which leaves the calls in hand 1.3 s; the own entry in the store keeps the target's last change, which the next process takes over with the entry. A target that refuses connections, or at whose address another one answers, is given up until it says more.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -311,6 +311,7 @@
 
 	/* Shutdown. */
 	bool stopping;
+	bool closing; /* peers are told to give it no more calls */
 	bf_time_us_t stop_us;
 	bf_timer_t stop_timer;
 	void (*stopped)(void *ctx);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -8,6 +8,11 @@
 #define STOP_POLL_US (50 * BF_US_PER_MS)
 /* Callers are moved away after two questions, one a second, say no. */
 #define STOP_MIN_US (2500 * BF_US_PER_MS)
+/*
+ * Until then the target beside the node, which may live on, is given calls; they
+ * have the rest of that time to end.
+ */
+#define STOP_OPEN_US (1200 * BF_US_PER_MS)
 /* The last part of the time allowed is left for ending the process. */
 #define STOP_RESERVE_US (600 * BF_US_PER_MS)
 
@@ -148,6 +153,10 @@
 {
 	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, stop_timer);
 
+	if (!mesh->closing && now_us - mesh->stop_us >= STOP_OPEN_US) {
+		mesh->closing = true;
+		bf_roster_tell(mesh, now_us);
+	}
 	if (!is_drained(mesh, now_us)) {
 		bf_loop_timer(mesh->loop, timer, now_us + STOP_POLL_US);
 		return;
@@ -174,7 +183,6 @@
 	    (int)bf_target_busy(mesh));
 	bf_http_server_drain(&mesh->callers);
 	bf_registry_stop(mesh);
-	bf_roster_tell(mesh, now_us);
 	mesh->stop_timer.fire = on_stop_timer;
 	bf_loop_timer(mesh->loop, &mesh->stop_timer, now_us + STOP_POLL_US);
 }
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -19,7 +19,7 @@
 /* The list is read again this often, for what was missed. */
 #define LIST_US (12 * BF_US_PER_S)
 /* What an entry says, at most. */
-#define ENTRY_BYTES 512
+#define ENTRY_BYTES 1024
 
 /* What comes next; a failure repeats the step after a pause. */
 typedef enum bf_member_step {
@@ -36,6 +36,19 @@
 	    mesh->options.instance);
 }
 
+/* The target's last heartbeat that changed something. */
+static json_t *
+pack_target(const bf_own_target_t *target)
+{
+	const bf_heartbeat_t *beat = &target->beat;
+
+	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:I,s:I}", "id", beat->id,
+	    "service", beat->service, "version", beat->version, "address",
+	    beat->address, "slots", (json_int_t)beat->slots, "draining",
+	    (int)(target->state != BF_TARGET_READY), "sequence",
+	    (json_int_t)beat->sequence, "born_ms", (json_int_t)beat->born_ms);
+}
+
 static void
 write_entry(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
@@ -48,10 +61,11 @@
 	json_t *entry;
 
 	own_key(mesh, key, sizeof(key));
-	entry = json_pack("{s:s,s:s,s:I,s:s,s:I}", "address",
+	entry = json_pack("{s:s,s:s,s:I,s:s,s:I,s:o}", "address",
 	    self->address_text, "zone", self->zone, "incarnation",
 	    (json_int_t)self->incarnation, "left", mesh->target.left_id,
-	    "left_born_ms", (json_int_t)mesh->target.left_born_ms);
+	    "left_born_ms", (json_int_t)mesh->target.left_born_ms, "target",
+	    pack_target(&mesh->target));
 	mesh->member_dirty = false;
 	write.data_bytes = json_dumpb(entry, data, sizeof(data), JSON_COMPACT);
 	json_decref(entry);
@@ -84,9 +98,41 @@
 	}
 }
 
+/*
+ * The target as a former process of this node knew it: it is served at once,
+ * not after its next heartbeat.  Should it have ended meanwhile, it refuses
+ * connections, or another one there refuses what is meant for it.
+ */
+static void
+take_former_target(
+    bf_mesh_t *mesh, const json_t *object, bf_time_us_t now_us)
+{
+	const char *id, *service, *version, *address;
+	json_int_t slots, sequence, born_ms;
+	bf_heartbeat_t beat = { .slots = 0 };
+	int draining;
+
+	if (json_unpack((json_t *)(uintptr_t)object,
+		"{s:s,s:s,s:s,s:s,s:I,s:b,s:I,s:I}", "id", &id, "service",
+		&service, "version", &version, "address", &address, "slots",
+		&slots, "draining", &draining, "sequence", &sequence,
+		"born_ms", &born_ms) != 0 ||
+	    id[0] == '\0' || mesh->target.beat.id[0] != '\0')
+		return;
+	(void)snprintf(beat.id, sizeof(beat.id), "%s", id);
+	(void)snprintf(beat.service, sizeof(beat.service), "%s", service);
+	(void)snprintf(beat.version, sizeof(beat.version), "%s", version);
+	(void)snprintf(beat.address, sizeof(beat.address), "%s", address);
+	beat.slots = (uint32_t)slots;
+	beat.draining = draining != 0;
+	beat.sequence = (uint64_t)sequence;
+	beat.born_ms = (uint64_t)born_ms;
+	(void)bf_mesh_heartbeat(mesh, &beat, now_us, NULL);
+}
+
 /* The own entry as a former process of this node left it. */
 static void
-take_former(bf_mesh_t *mesh, const bf_kv_item_t *item)
+take_former(bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
 {
 	json_int_t born_ms;
 	const char *left;
@@ -101,6 +147,7 @@
 		    sizeof(mesh->target.left_id), "%s", left);
 		mesh->target.left_born_ms = (uint64_t)born_ms;
 	}
+	take_former_target(mesh, json_object_get(entry, "target"), now_us);
 	json_decref(entry);
 }
 
@@ -217,7 +264,7 @@
 		mesh->member_revision =
 		    reply->item_count > 0 ? reply->items[0].revision : 0;
 		if (reply->item_count > 0 && reply->items[0].data != NULL)
-			take_former(mesh, &reply->items[0]);
+			take_former(mesh, &reply->items[0], now_us);
 		next_call(mesh, now_us);
 		return;
 	case BF_ERR_NOT_FOUND:
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -71,7 +71,7 @@
 	bf_node_state_t state = {
 		.target_state = target->state,
 		.incarnation = mesh->incarnation,
-		.stopping = mesh->stopping,
+		.stopping = mesh->closing,
 		.store_up = mesh->store_up,
 		.config_version = mesh->routing != NULL
 		    ? bf_routing_version(mesh->routing)
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -405,6 +405,25 @@
 	return message->status >= 400;
 }
 
+/* The target is gone, until it says more. */
+static void
+target_down(bf_mesh_t *mesh, const char *why, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+	bf_waiter_t *waiter;
+
+	if (target->state == BF_TARGET_ABSENT)
+		return;
+	target->state = BF_TARGET_ABSENT;
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
+	    target->beat.id, "change", why);
+	while ((waiter = TAILQ_FIRST(&target->waiting.list)) != NULL) {
+		bf_waiting_leave(&target->waiting, waiter);
+		refuse((bf_job_t *)(void *)waiter, BF_CAUSE_NO_TARGET, now_us);
+	}
+	bf_roster_tell(mesh, now_us);
+}
+
 static void
 take_answer(bf_job_t *job, bf_http_message_t *message, bf_time_us_t now_us)
 {
@@ -420,31 +439,13 @@
 		return_unrun(job, BF_CAUSE_REJECTED, now_us);
 	} else if (message->status == 421) {
 		return_unrun(job, BF_CAUSE_NO_TARGET, now_us);
+		target_down(mesh, "another one has its address", now_us);
 	} else {
 		pass_on(job, message, now_us);
 	}
 	bf_http_message_free(message);
 }
 
-/* Nothing listens at the target's address: it is gone until it says more. */
-static void
-target_down(bf_mesh_t *mesh, bf_time_us_t now_us)
-{
-	bf_own_target_t *target = &mesh->target;
-	bf_waiter_t *waiter;
-
-	if (target->state == BF_TARGET_ABSENT)
-		return;
-	target->state = BF_TARGET_ABSENT;
-	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
-	    target->beat.id, "change", "refuses connections");
-	while ((waiter = TAILQ_FIRST(&target->waiting.list)) != NULL) {
-		bf_waiting_leave(&target->waiting, waiter);
-		refuse((bf_job_t *)(void *)waiter, BF_CAUSE_NO_TARGET, now_us);
-	}
-	bf_roster_tell(mesh, now_us);
-}
-
 static void
 on_exchange(bf_http_exchange_t *exchange, bf_http_end_t end,
     bf_http_message_t *message, bf_time_us_t now_us)
@@ -459,7 +460,7 @@
 	case BF_HTTP_NOT_SENT:
 		end_run(job, -1);
 		refuse(job, BF_CAUSE_CONNECT, now_us);
-		target_down(mesh, now_us);
+		target_down(mesh, "refuses connections", now_us);
 		break;
 	case BF_HTTP_BROKEN:
 		lose_run(job, BF_CAUSE_BROKEN, now_us);
@@ -780,6 +781,7 @@
 	    beat->draining ? "draining" : "ready", "service", beat->service,
 	    "version", beat->version, "slots", (int)beat->slots, "sequence",
 	    (json_int_t)beat->sequence, "born_ms", (json_int_t)beat->born_ms);
+	bf_registry_update(mesh, now_us);
 	bf_roster_tell(mesh, now_us);
 	return BF_OK;
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -357,6 +357,52 @@
 	bed_free(bed);
 }
 
+static void
+on_stopped(void *ctx)
+{
+	*(bool *)ctx = true;
+}
+
+/* A target that lives on is served by its node's next process at once. */
+static void
+test_target_after_restart(void)
+{
+	mesh_bed_t *bed = configured(2);
+
+	bed_run(bed, SETTLE_US);
+	bed_restart(bed, 0);
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpuint(bed->nodes[0]->target.waiting.slots, ==, BED_SLOTS);
+	/* Not one that ended meanwhile. */
+	bf_listener_close(&bed->targets[0].listener);
+	bed_restart(bed, 0);
+	bed_run(bed, SETTLE_US);
+	(void)one_call(bed, "GET", "/read/x", "c1");
+	(void)one_call(bed, "GET", "/read/x", "c2");
+	(void)one_call(bed, "GET", "/read/x", "c3");
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_ABSENT);
+	bed_free(bed);
+}
+
+/* Its node takes its calls for a while after the signal to stop. */
+static void
+test_stop_serves_target(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bool stopped = false;
+	bf_peer_t *peer;
+
+	bf_mesh_stop(
+	    bed->nodes[0], on_stopped, &stopped, bf_clock_monotonic_us());
+	bed_run(bed, SETTLE_US);
+	peer = bf_roster_find(bed->nodes[1], "n0");
+	g_assert_false(peer->state.stopping);
+	bed_run(bed, 1500 * BF_US_PER_MS);
+	g_assert_true(peer->state.stopping);
+	bed_free(bed);
+}
+
 static void
 test_version_never_back(void)
 {
@@ -533,12 +579,6 @@
 }
 
 /* The node beside a target that stops takes its calls to their ends. */
-static void
-on_stopped(void *ctx)
-{
-	*(bool *)ctx = true;
-}
-
 static void
 test_stop(void)
 {
@@ -762,6 +802,9 @@
 	g_test_add_func("/mesh/draining", test_draining);
 	g_test_add_func("/mesh/old-heartbeats", test_old_heartbeats);
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
+	g_test_add_func(
+	    "/mesh/target-after-restart", test_target_after_restart);
+	g_test_add_func("/mesh/stop-serves-target", test_stop_serves_target);
 	g_test_add_func("/mesh/version-never-back", test_version_never_back);
 	g_test_add_func("/mesh/cut-watch", test_cut_watch);
 	g_test_add_func(
