Take a stale list for no proof that the own entry is gone

Change: a list older than the entry says nothing of it, and a rewrite waits 0.2 s. The test (stale-list) failed before: more than 2 writes in 1 s.

--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -9,8 +9,8 @@
 /* Callers are moved away after two questions, one a second, say no. */
 #define STOP_MIN_US (2500 * BF_US_PER_MS)
 /*
- * Until then the target beside the node, which may live on, is given calls; they
- * have the rest of that time to end.
+ * Until then the target beside the node, which may live on, is given calls;
+ * they have the rest of that time to end.
  */
 #define STOP_OPEN_US (1200 * BF_US_PER_MS)
 /* The last part of the time allowed is left for ending the process. */
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -16,6 +16,8 @@
 #define LEASE_TTL_MS 6000
 /* Renewed this often, so that two renewals may be lost. */
 #define RENEW_US (2 * BF_US_PER_S)
+/* An entry that is gone is written again after this, not in a hot loop. */
+#define REWRITE_US (200 * BF_US_PER_MS)
 /* The list is read again this often, for what was missed. */
 #define LIST_US (12 * BF_US_PER_S)
 /* What an entry says, at most. */
@@ -104,8 +106,7 @@
  * connections, or another one there refuses what is meant for it.
  */
 static void
-take_former_target(
-    bf_mesh_t *mesh, const json_t *object, bf_time_us_t now_us)
+take_former_target(bf_mesh_t *mesh, const json_t *object, bf_time_us_t now_us)
 {
 	const char *id, *service, *version, *address;
 	json_int_t slots, sequence, born_ms;
@@ -115,8 +116,8 @@
 	if (json_unpack((json_t *)(uintptr_t)object,
 		"{s:s,s:s,s:s,s:s,s:I,s:b,s:I,s:I}", "id", &id, "service",
 		&service, "version", &version, "address", &address, "slots",
-		&slots, "draining", &draining, "sequence", &sequence,
-		"born_ms", &born_ms) != 0 ||
+		&slots, "draining", &draining, "sequence", &sequence, "born_ms",
+		&born_ms) != 0 ||
 	    id[0] == '\0' || mesh->target.beat.id[0] != '\0')
 		return;
 	(void)snprintf(beat.id, sizeof(beat.id), "%s", id);
@@ -182,6 +183,7 @@
 take_list(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_peer_t *peer;
+	bool is_gone;
 	size_t i;
 
 	if (mesh->list_after[0] == '\0') {
@@ -198,13 +200,17 @@
 	}
 	mesh->list_after[0] = '\0';
 	mesh->listed_us = now_us;
-	/* The entry may be gone although its lease lives. */
-	mesh->member_step =
-	    mesh->self->listed ? BF_MEMBER_RENEW : BF_MEMBER_WRITE;
-	if (!mesh->self->listed)
+	/*
+	 * The entry may be gone although its lease lives; a list that is older
+	 * than the entry does not show that.
+	 */
+	is_gone =
+	    !mesh->self->listed && reply->revision >= mesh->member_revision;
+	mesh->member_step = is_gone ? BF_MEMBER_WRITE : BF_MEMBER_RENEW;
+	if (is_gone)
 		mesh->member_revision = 0;
 	bf_loop_timer(mesh->loop, &mesh->member_timer,
-	    now_us + (mesh->self->listed ? RENEW_US : 0));
+	    now_us + (is_gone ? REWRITE_US : RENEW_US));
 }
 
 static void
--- a/tests/mesh_bed.c
+++ b/tests/mesh_bed.c
@@ -213,10 +213,13 @@
 	bed_kv_call_t *entry = begin_call(kv, call, STORE_US);
 
 	(void)after_key;
-	(void)stale;
 	(void)now_us;
 	store_of(kv)->lists++;
 	collect(entry, prefix, 0);
+	if (stale && store_of(kv)->behind) {
+		entry->reply.item_count = 0;
+		entry->reply.revision = 1;
+	}
 }
 
 static void
--- a/tests/mesh_bed.h
+++ b/tests/mesh_bed.h
@@ -80,9 +80,10 @@
 	bed_key_t keys[BED_KEYS_MAX];
 	uint32_t key_count;
 	uint64_t revision;
-	bool down; /* refuses all calls */
-	bool deaf; /* watches hear nothing */
-	bool lost; /* writes are done and not answered */
+	bool down;   /* refuses all calls */
+	bool deaf;   /* watches hear nothing */
+	bool behind; /* stale lists are those of an empty store */
+	bool lost;   /* writes are done and not answered */
 	uint32_t lists;
 	uint32_t writes;
 	bed_kv_call_t calls[BED_CALLS_MAX];
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -403,6 +403,23 @@
 	bed_free(bed);
 }
 
+/* A list that is older than the own entry is no reason to write it again. */
+static void
+test_stale_list(void)
+{
+	mesh_bed_t *bed = configured(1);
+	uint32_t writes;
+
+	bed_run(bed, SETTLE_US);
+	bed->store.behind = true;
+	writes = bed->store.writes;
+	bf_mesh_target_leaves(
+	    bed->nodes[0], bed->targets[0].id, bf_clock_monotonic_us());
+	bed_run(bed, BF_US_PER_S);
+	g_assert_cmpuint(bed->store.writes - writes, <=, 2);
+	bed_free(bed);
+}
+
 static void
 test_version_never_back(void)
 {
@@ -804,6 +821,7 @@
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
 	g_test_add_func(
 	    "/mesh/target-after-restart", test_target_after_restart);
+	g_test_add_func("/mesh/stale-list", test_stale_list);
 	g_test_add_func("/mesh/stop-serves-target", test_stop_serves_target);
 	g_test_add_func("/mesh/version-never-back", test_version_never_back);
 	g_test_add_func("/mesh/cut-watch", test_cut_watch);
