--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -186,7 +186,8 @@
 
 /*
  * Asks for a newer configuration, should the store not bring it: one peer at a
- * time, as a configuration is large and all peers tell of it at once.
+ * time, as a configuration is large and all peers tell of it at once.  A node
+ * without any serves nobody and asks at once.
  */
 static void
 ask_config(bf_peer_t *peer, bf_time_us_t now_us)
@@ -201,7 +202,8 @@
 	}
 	if (peer->newer_us == 0)
 		peer->newer_us = now_us;
-	if (now_us - peer->newer_us < CONFIG_PATIENCE_US ||
+	if ((mesh->routing != NULL &&
+		now_us - peer->newer_us < CONFIG_PATIENCE_US) ||
 	    now_us < mesh->ask_config_us)
 		return;
 	mesh->ask_config_us = now_us + CONFIG_AGAIN_US +
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -470,6 +470,23 @@
 	bed_free(bed);
 }
 
+/* A node that has none, as after a start without the store, asks at once. */
+static void
+test_first_configuration_by_peers(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bf_mesh_t *node = bed->nodes[0];
+
+	bf_follow_stop(&node->follow);
+	bf_routing_release(node->routing);
+	node->routing = NULL;
+	bf_bytes_clear(&node->config);
+	g_assert_false(bf_mesh_ready(node));
+	bed_run(bed, 600 * BF_US_PER_MS);
+	g_assert_true(bf_mesh_ready(node));
+	bed_free(bed);
+}
+
 /* Ends well while the store answers nobody. */
 static void
 test_store_down(void)
@@ -827,6 +844,8 @@
 	g_test_add_func("/mesh/cut-watch", test_cut_watch);
 	g_test_add_func(
 	    "/mesh/configuration-by-peers", test_configuration_by_peers);
+	g_test_add_func("/mesh/first-configuration-by-peers",
+	    test_first_configuration_by_peers);
 	g_test_add_func("/mesh/store-down", test_store_down);
 	g_test_add_func("/mesh/pipelined", test_pipelined);
 	g_test_add_func("/mesh/made-call", test_made_call);
