--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -367,6 +367,8 @@
     bf_time_us_t now_us);
 /* All orders were read, by a list that began then. */
 void bf_movement_listed(bf_mesh_t *mesh, bf_time_us_t began_us);
+/* Gives up what is being written. */
+void bf_movement_stop(bf_mesh_t *mesh);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_movement_tell(
     bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -498,6 +498,18 @@
 	}
 }
 
+void
+bf_movement_stop(bf_mesh_t *mesh)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh->move_count; i++) {
+		if (mesh->moves[i].write.state != NULL)
+			mesh->kv->vtable->cancel(
+			    mesh->kv, &mesh->moves[i].write);
+	}
+}
+
 void
 bf_movement_write_runs(bf_mesh_t *mesh, bf_wire_writer_t *writer)
 {
--- a/tests/mesh_bed.c
+++ b/tests/mesh_bed.c
@@ -395,6 +395,7 @@
 	if (conn->dropped)
 		return;
 	conn->dropped = true;
+	g_ptr_array_remove_fast(conn->target->bed->conns, conn);
 	if (conn->run != NULL) {
 		conn->run->ended_early = true;
 		conn->target->running--;
@@ -554,6 +555,7 @@
 	(void)from;
 	(void)now_us;
 	conn->target = BF_CONTAINER(listener, bed_target_t, listener);
+	g_ptr_array_add(conn->target->bed->conns, conn);
 	bf_http_reader_init(&conn->reader, &target_reader, true);
 	g_assert_cmpint(bf_tcp_adopt(&conn->tcp, &target_tcp,
 			    conn->target->bed->loop, fd, NULL),
@@ -648,6 +650,7 @@
 	uint32_t i;
 
 	bed->loop = bf_loop_new(NULL);
+	bed->conns = g_ptr_array_new();
 	bed->metrics = bf_metrics_set_new();
 	bed->store.kv.vtable = &kv_vtable;
 	bed->store.bed = bed;
@@ -673,6 +676,9 @@
 		bf_mesh_free(bed->nodes[i]);
 		bf_listener_close(&bed->targets[i].listener);
 	}
+	while (bed->conns->len > 0)
+		conn_drop(g_ptr_array_index(bed->conns, 0));
+	g_ptr_array_free(bed->conns, TRUE);
 	bf_loop_free(bed->loop);
 	bf_metrics_set_free(bed->metrics);
 	g_free(bed);
--- a/tests/mesh_bed.h
+++ b/tests/mesh_bed.h
@@ -1,6 +1,8 @@
 #ifndef BF_TESTS_MESH_BED_H
 #define BF_TESTS_MESH_BED_H
 
+#include <glib.h>
+
 #include "http/client.h"
 #include "mesh/internal.h"
 
@@ -98,6 +100,7 @@
 	char names[BED_NODES_MAX][16];
 	bed_target_t targets[BED_NODES_MAX];
 	uint32_t node_count;
+	GPtrArray *conns; /* open ones of the targets */
 	bf_timer_t end;
 	bool timed_out;
 } mesh_bed_t;
