Leave more of the allowed exposure for a version that turns bad under load

Change: 4, 8, 15, 30 and 100 in 100, the last from 0.49 of the time; recent evidence is that of 1 to 2 s; failures may exceed the old rate by 0.06. The test (under-load) failed before: completed instead of rolled back.

--- a/mesh/move.c
+++ b/mesh/move.c
@@ -6,8 +6,8 @@
 
 /*
  * The ladder: until which part of a move's time each share holds at least.  A
- * version that turns bad late has had under a tenth of the calls by the time
- * of the last step but one, which is what operators allow a bad version.
+ * version that turns bad only once it has all calls has had half of a tenth of
+ * them before, and a tenth is what operators allow a bad version.
  */
 typedef struct bf_rung {
 	uint32_t share_ppm;
@@ -17,9 +17,9 @@
 
 static const bf_rung_t ladder[] = {
 	{ 40000, 0.22, 20 },
-	{ 90000, 0.36, 60 },
-	{ 220000, 0.46, 120 },
-	{ 500000, 0.56, 250 },
+	{ 80000, 0.34, 60 },
+	{ 150000, 0.44, 120 },
+	{ 300000, 0.49, 200 },
 	{ BF_SHARE_ALL, 1.0, 0 },
 };
 
@@ -32,7 +32,7 @@
 
 /* Failures: fewest of them, and the excess over the old version's rate. */
 #define FAILURES_MIN 5
-#define FAILURE_EXCESS 0.08
+#define FAILURE_EXCESS 0.06
 /* Deviations of the old rate that chance alone stays within. */
 #define DEVIATIONS 4.0
 /* Slowness: fewest timed runs, and the factor over the old version. */
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -15,7 +15,7 @@
 /* How often it tells the state of a move although it did not change. */
 #define RETELL_US (500 * BF_US_PER_MS)
 /* Recent evidence is that of one to two spans. */
-#define SPAN_US (2 * BF_US_PER_S)
+#define SPAN_US BF_US_PER_S
 
 static bf_known_move_t *
 find_move(bf_mesh_t *mesh, const char *service)
--- a/tests/test_mesh_move.c
+++ b/tests/test_mesh_move.c
@@ -165,6 +165,24 @@
 	}
 }
 
+/* Good until it has all calls, then a seventh of them fail. */
+static void
+test_under_load(void)
+{
+	static const version_t bad = { 0.146, 60 };
+	uint32_t allowed = DURATION_MS / 200 * CALLS_A_STEP * ROUTES / 10 + 50;
+	world_t world;
+
+	begin(&world);
+	while (world.move.share_ppm < BF_SHARE_ALL &&
+	    world.now_us < DURATION_MS * MS)
+		(void)step(&world, &good, &good, ROUTES);
+	g_assert_cmpuint(world.move.share_ppm, ==, BF_SHARE_ALL);
+	play(&world, &good, &bad, ROUTES);
+	g_assert_cmpint(world.move.state, ==, BF_MOVE_ROLLED_BACK);
+	g_assert_cmpuint(world.new_total, <, allowed);
+}
+
 /* Old targets that still run calls hold the end back: they stop at once. */
 static void
 test_old_busy(void)
@@ -231,6 +249,7 @@
 	g_test_add_func("/move/good", test_good);
 	g_test_add_func("/move/bad", test_bad);
 	g_test_add_func("/move/late", test_late);
+	g_test_add_func("/move/under-load", test_under_load);
 	g_test_add_func("/move/old-busy", test_old_busy);
 	g_test_add_func("/move/no-targets", test_no_targets);
 	g_test_add_func("/move/tallies", test_tallies);
