--- /dev/null
+++ b/daemons/arguments.h
@@ -0,0 +1,22 @@
+#ifndef BF_DAEMONS_ARGUMENTS_H
+#define BF_DAEMONS_ARGUMENTS_H
+
+#include <stdbool.h>
+
+#include "toml/problem.h"
+
+/* The command line that the daemons share: "[--check] SETTINGS.toml". */
+
+typedef struct bf_daemon_arguments {
+	const char *settings_path;
+	bool check; /* check the settings and exit */
+} bf_daemon_arguments_t;
+
+/* Exits with a usage message when the arguments are wrong. */
+void bf_daemon_arguments_parse(
+    bf_daemon_arguments_t *arguments, int argc, char **argv);
+
+/* To standard error, a line each. */
+void bf_daemon_print_problems(const bf_problems_t *problems, apr_pool_t *pool);
+
+#endif
--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -3,7 +3,6 @@
  * runs the store, one loop for all of it.  See basilmeshd(8).
  */
 
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -18,6 +17,7 @@
 #include <sodium.h>
 
 #include "base/address.h"
+#include "daemons/arguments.h"
 #include "mesh/mesh.h"
 #include "platform/platform.h"
 #include "settings/meshd.h"
@@ -35,11 +35,6 @@
 
 const char *argp_program_version = "basilmeshd " BF_VERSION;
 
-typedef struct arguments {
-	const char *settings_path;
-	bool check;
-} arguments_t;
-
 /* The whole process. */
 typedef struct meshd {
 	bf_loop_t *loop;
@@ -57,55 +52,6 @@
 	off_t settings_bytes;
 } meshd_t;
 
-static const struct argp_option options[] = {
-	{
-	    .name = "check",
-	    .key = 'c',
-	    .doc = "Check the settings and exit",
-	},
-	{ 0 },
-};
-
-static error_t
-parse_option(int key, char *value, struct argp_state *state)
-{
-	arguments_t *arguments = state->input;
-
-	switch (key) {
-	case 'c':
-		arguments->check = true;
-		return 0;
-	case ARGP_KEY_ARG:
-		if (arguments->settings_path != NULL)
-			argp_usage(state);
-		arguments->settings_path = value;
-		return 0;
-	case ARGP_KEY_END:
-		if (arguments->settings_path == NULL)
-			argp_usage(state);
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
-static const struct argp argp = {
-	.options = options,
-	.parser = parse_option,
-	.args_doc = "SETTINGS.toml",
-	.doc = "Runs one node of the mesh beside its target.",
-};
-
-static void
-print_problems(const bf_problems_t *problems, apr_pool_t *pool)
-{
-	size_t i;
-
-	for (i = 0; i < problems->count; i++)
-		fprintf(
-		    stderr, "%s\n", bf_problem_text(&problems->items[i], pool));
-}
-
 /* Addresses of settings were checked when they were read. */
 static struct sockaddr_in
 address_of(const char *text)
@@ -364,13 +310,13 @@
 int
 main(int argc, char **argv)
 {
-	arguments_t arguments = { 0 };
+	bf_daemon_arguments_t arguments = { 0 };
 	bf_meshd_settings_t settings;
 	bf_problems_t *problems;
 	apr_pool_t *pool;
 	int status;
 
-	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	bf_daemon_arguments_parse(&arguments, argc, argv);
 	apr_initialize();
 	if (sodium_init() < 0)
 		return EXIT_START;
@@ -378,7 +324,7 @@
 	problems = bf_problems_new(pool);
 	if (bf_meshd_settings_load(
 		arguments.settings_path, pool, &settings, problems) != BF_OK) {
-		print_problems(problems, pool);
+		bf_daemon_print_problems(problems, pool);
 		status = EXIT_SETTINGS;
 	} else if (arguments.check) {
 		status = EXIT_SUCCESS;
--- a/daemons/basilnoded.c
+++ b/daemons/basilnoded.c
@@ -4,7 +4,6 @@
  * gracefully.  See basilnoded(8).
  */
 
-#include <argp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -12,6 +11,7 @@
 #include <apr_general.h>
 #include <curl/curl.h>
 
+#include "daemons/arguments.h"
 #include "node/node.h"
 
 /* How often a graceful shutdown looks whether calls are still in flight. */
@@ -24,50 +24,6 @@
 
 const char *argp_program_version = "basilnoded " BF_VERSION;
 
-typedef struct arguments {
-	const char *settings_path;
-	bool check;
-} arguments_t;
-
-static const struct argp_option options[] = {
-	{
-	    .name = "check",
-	    .key = 'c',
-	    .doc = "Check the settings and exit",
-	},
-	{ 0 },
-};
-
-static error_t
-parse_option(int key, char *value, struct argp_state *state)
-{
-	arguments_t *arguments = state->input;
-
-	switch (key) {
-	case 'c':
-		arguments->check = true;
-		return 0;
-	case ARGP_KEY_ARG:
-		if (arguments->settings_path != NULL)
-			argp_usage(state);
-		arguments->settings_path = value;
-		return 0;
-	case ARGP_KEY_END:
-		if (arguments->settings_path == NULL)
-			argp_usage(state);
-		return 0;
-	default:
-		return ARGP_ERR_UNKNOWN;
-	}
-}
-
-static const struct argp argp = {
-	.options = options,
-	.parser = parse_option,
-	.args_doc = "SETTINGS.toml",
-	.doc = "Runs one node of the mesh beside its target.",
-};
-
 /* Waits for a signal that ends the process, then for the calls in flight. */
 static void
 run_until_signal(bf_node_t *node, const sigset_t *signals)
@@ -107,16 +63,6 @@
 	return code == BF_OK ? EXIT_SUCCESS : EXIT_START;
 }
 
-static void
-print_problems(const bf_problems_t *problems, apr_pool_t *pool)
-{
-	size_t i;
-
-	for (i = 0; i < problems->count; i++)
-		fprintf(
-		    stderr, "%s\n", bf_problem_text(&problems->items[i], pool));
-}
-
 /* Signals are taken by sigwait alone; threads inherit the mask. */
 static void
 block_signals(sigset_t *signals)
@@ -131,14 +77,14 @@
 int
 main(int argc, char **argv)
 {
-	arguments_t arguments = { 0 };
+	bf_daemon_arguments_t arguments = { 0 };
 	bf_node_settings_t settings;
 	bf_problems_t *problems;
 	apr_pool_t *pool;
 	sigset_t signals;
 	int status;
 
-	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
+	bf_daemon_arguments_parse(&arguments, argc, argv);
 	block_signals(&signals);
 	apr_initialize();
 	curl_global_init(CURL_GLOBAL_ALL);
@@ -146,7 +92,7 @@
 	problems = bf_problems_new(pool);
 	if (bf_node_settings_load(
 		arguments.settings_path, pool, &settings, problems) != BF_OK) {
-		print_problems(problems, pool);
+		bf_daemon_print_problems(problems, pool);
 		status = EXIT_SETTINGS;
 	} else if (arguments.check) {
 		status = EXIT_SUCCESS;
