Tell load between zones once a second, and evidence to the leader only

Change: load goes to other zones once a second; what decides whether a call may go to a target is still told at once. Silence between zones is judged by that cadence. Tallies of runs go to the node that leads, not to all. The tick follows the number of nodes in the own zone.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -277,8 +277,10 @@
 	bf_peer_t *self;
 	uint32_t peer_count;
 	bf_inbound_t *inbound;
-	bf_node_state_t told; /* as the peers were told last */
+	bf_node_state_t told; /* as the peers of the own zone were told last */
 	bf_time_us_t told_us;
+	bf_node_state_t told_far; /* and those of other zones */
+	bf_time_us_t told_far_us;
 	bf_timer_t tick;
 
 	/* The own entry in the store. */
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -191,11 +191,11 @@
 }
 
 /* The first by name of the nodes that can write, or of all if none can. */
-static bool
-leads(bf_mesh_t *mesh)
+static bf_peer_t *
+find_leader(bf_mesh_t *mesh)
 {
-	const bf_peer_t *peer, *best = NULL;
 	bool up, best_up = false;
+	bf_peer_t *peer, *best = NULL;
 
 	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
 		if (!peer->self &&
@@ -212,7 +212,15 @@
 			best_up = up;
 		}
 	}
-	return best != NULL && best->self;
+	return best;
+}
+
+static bool
+leads(bf_mesh_t *mesh)
+{
+	const bf_peer_t *leader = find_leader(mesh);
+
+	return leader != NULL && leader->self;
 }
 
 static void
@@ -461,20 +469,20 @@
 	}
 }
 
-/* Sends what the own target showed to whoever may lead. */
+/*
+ * Sends what the own target showed to the node that leads, which another may
+ * become at any time: the tallies are of all runs, so it misses nothing.
+ */
 static void
 tell_runs(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	bf_inbound_t *inbound;
+	const bf_peer_t *leader = find_leader(mesh);
 
-	for (inbound = mesh->inbound; inbound != NULL;
-	     inbound = inbound->next) {
-		if (inbound->peer == NULL)
-			continue;
-		bf_movement_write_runs(mesh, &mesh->writer);
-		bf_mesh_link_send(&inbound->link, BF_FRAME_RUNS, 0,
-		    &mesh->writer, NULL, now_us);
-	}
+	if (leader == NULL || leader->self || leader->inbound == NULL)
+		return;
+	bf_movement_write_runs(mesh, &mesh->writer);
+	bf_mesh_link_send(&leader->inbound->link, BF_FRAME_RUNS, 0,
+	    &mesh->writer, NULL, now_us);
 }
 
 void
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -8,16 +8,35 @@
 #include "base/address.h"
 #include "mesh/internal.h"
 
-/* Load is told this often, when it changed. */
+/* Load is told to nodes of the own zone this often, when it changed. */
 #define TICK_US (40 * BF_US_PER_MS)
 /* With many peers less often, so that telling costs under 1 % of a core. */
 #define TICK_PEER_US (2 * BF_US_PER_MS)
-/* Something is told at least this often: silence is then a sign. */
-#define TELL_US (250 * BF_US_PER_MS)
-/* A peer that was silent this long is used only for want of others. */
-#define SILENT_US (700 * BF_US_PER_MS)
-/* Its connection is given up: new ones may work where an old one does not. */
-#define LOST_US (1600 * BF_US_PER_MS)
+
+/* How often nodes tell each other something, and what silence means. */
+typedef struct bf_cadence {
+	bf_time_us_t tell_us;   /* at least this often: silence is a sign */
+	bf_time_us_t silent_us; /* used only for want of others from then on */
+	/* Given up: a new connection may work where an old one does not. */
+	bf_time_us_t lost_us;
+} bf_cadence_t;
+
+static const bf_cadence_t near_cadence = {
+	.tell_us = 250 * BF_US_PER_MS,
+	.silent_us = 700 * BF_US_PER_MS,
+	.lost_us = 1600 * BF_US_PER_MS,
+};
+
+/*
+ * Between zones load is told at this pace only, changed or not: what each node
+ * tells each other one grows with the square of their number, and the few
+ * calls that leave a zone bring fresh load back with their answers.
+ */
+static const bf_cadence_t far_cadence = {
+	.tell_us = BF_US_PER_S,
+	.silent_us = 2200 * BF_US_PER_MS,
+	.lost_us = 3300 * BF_US_PER_MS,
+};
 #define DIAL_US BF_US_PER_S
 /* A peer that neither the store lists nor answers is forgotten after this. */
 #define FORGET_US (5 * BF_US_PER_S)
@@ -125,14 +144,20 @@
 	bf_mesh_link_send(link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
 }
 
+/* Whether both say the same of the target, and of calls to it. */
 static bool
-same_identity(const bf_node_state_t *a, const bf_node_state_t *b)
+same_target(const bf_node_state_t *a, const bf_node_state_t *b)
 {
 	return strcmp(a->target, b->target) == 0 &&
 	    strcmp(a->service, b->service) == 0 &&
 	    strcmp(a->version, b->version) == 0 &&
-	    a->target_state == b->target_state && a->stopping == b->stopping &&
-	    a->store_up == b->store_up &&
+	    a->target_state == b->target_state && a->stopping == b->stopping;
+}
+
+static bool
+same_identity(const bf_node_state_t *a, const bf_node_state_t *b)
+{
+	return same_target(a, b) && a->store_up == b->store_up &&
 	    a->config_version == b->config_version;
 }
 
@@ -143,32 +168,48 @@
 	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
 }
 
-/* Tells what changed, and something in any case each TELL_US. */
+/* Tells the nodes of the own zone, or those of all others. */
 static void
-tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
+tell_zone(bf_mesh_t *mesh, bool near, const bf_node_state_t *state, bool whole,
+    bf_time_us_t now_us)
 {
-	bf_node_state_t state = bf_mesh_state(mesh, now_us);
 	bf_inbound_t *inbound;
-	bool identity;
 
-	identity = !same_identity(&state, &mesh->told);
-	if (!identity && now_us - mesh->told_us < TELL_US &&
-	    same_load(&state.load, &mesh->told.load))
-		return;
 	for (inbound = mesh->inbound; inbound != NULL;
 	     inbound = inbound->next) {
-		if (inbound->peer == NULL)
+		if (inbound->peer == NULL || inbound->peer->near != near)
 			continue;
-		if (identity) {
-			tell_state(mesh, &inbound->link, &state, now_us);
+		if (whole) {
+			tell_state(mesh, &inbound->link, state, now_us);
 			continue;
 		}
-		bf_wire_write_load(&mesh->writer, &state.load);
+		bf_wire_write_load(&mesh->writer, &state->load);
 		bf_mesh_link_send(&inbound->link, BF_FRAME_LOAD, 0,
 		    &mesh->writer, NULL, now_us);
 	}
-	mesh->told = state;
-	mesh->told_us = now_us;
+}
+
+/* Tells what changed, and something in any case at each zone's cadence. */
+static void
+tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_node_state_t state = bf_mesh_state(mesh, now_us);
+	bool changed;
+
+	changed = !same_identity(&state, &mesh->told);
+	if (changed || now_us - mesh->told_us >= near_cadence.tell_us ||
+	    !same_load(&state.load, &mesh->told.load)) {
+		tell_zone(mesh, true, &state, changed, now_us);
+		mesh->told = state;
+		mesh->told_us = now_us;
+	}
+	if (!same_target(&state, &mesh->told_far) ||
+	    now_us - mesh->told_far_us >= far_cadence.tell_us) {
+		tell_zone(mesh, false, &state,
+		    !same_identity(&state, &mesh->told_far), now_us);
+		mesh->told_far = state;
+		mesh->told_far_us = now_us;
+	}
 }
 
 void
@@ -689,6 +730,7 @@
 static void
 check_silence(bf_peer_t *peer, bf_time_us_t now_us)
 {
+	const bf_cadence_t *cadence = peer->near ? &near_cadence : &far_cadence;
 	bf_time_us_t silent_us;
 
 	if (peer->link == NULL)
@@ -699,9 +741,9 @@
 			lose_link(peer, "no connection in time", now_us);
 		return;
 	}
-	if (silent_us > LOST_US) {
+	if (silent_us > cadence->lost_us) {
 		lose_link(peer, "silent", now_us);
-	} else if (silent_us > SILENT_US && !peer->silent) {
+	} else if (silent_us > cadence->silent_us && !peer->silent) {
 		peer->silent = true;
 		bf_entry_peer_lost(peer, false, now_us);
 	}
@@ -726,16 +768,18 @@
 	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, tick);
 	bf_time_us_t pause_us;
 	bf_peer_t *peer, *next;
+	uint32_t near_count = 0;
 
 	for (peer = mesh->peers; peer != NULL; peer = next) {
 		next = peer->next;
+		near_count += peer->near ? 1 : 0;
 		check_silence(peer, now_us);
 		check_missing(peer, now_us);
 	}
 	bf_target_tick(mesh, now_us);
 	bf_movement_tick(mesh, now_us);
 	tell_changes(mesh, now_us);
-	pause_us = mesh->peer_count * TICK_PEER_US;
+	pause_us = near_count * TICK_PEER_US;
 	bf_loop_timer(mesh->loop, timer,
 	    now_us + (pause_us > TICK_US ? pause_us : TICK_US));
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -815,6 +815,60 @@
 	bed_free(bed);
 }
 
+/* Bytes that the node wrote to another on the link that the other dialled. */
+static uint64_t
+bytes_told(const mesh_bed_t *bed, uint32_t node, uint32_t other)
+{
+	const bf_peer_t *peer =
+	    bf_roster_find(bed->nodes[node], bed->names[other]);
+
+	g_assert_nonnull(peer);
+	g_assert_nonnull(peer->inbound);
+	return peer->inbound->link.tcp.sent_bytes;
+}
+
+/*
+ * Load that changes all the time is told to the own zone at once, and to other
+ * zones once a second: 3 frames of at most 80 bytes in 2 s.
+ */
+static void
+test_far_told_seldom(void)
+{
+	mesh_bed_t *bed = configured(3);
+	uint64_t near_bytes, far_bytes;
+	bed_call_t call;
+	int i;
+
+	near_bytes = bytes_told(bed, 0, 2);
+	far_bytes = bytes_told(bed, 0, 1);
+	for (i = 0; i < 20; i++) {
+		call = one_call(bed, "GET", "/read/x", "c1");
+		g_assert_cmpuint(call.status, ==, 200);
+		bed->nodes[0]->target.waiting.running += i % 2 == 0 ? 1 : -1;
+		bed_run(bed, 95 * BF_US_PER_MS);
+	}
+	far_bytes = bytes_told(bed, 0, 1) - far_bytes;
+	near_bytes = bytes_told(bed, 0, 2) - near_bytes;
+	g_assert_cmpuint(far_bytes, <=, 3 * 80);
+	g_assert_cmpuint(near_bytes, >=, 15 * 25);
+	bed_free(bed);
+}
+
+/* What decides whether a call may go there is told to all zones at once. */
+static void
+test_leaving_told_far(void)
+{
+	mesh_bed_t *bed = configured(2);
+	const bf_peer_t *far;
+
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	bed_run(bed, 50 * BF_US_PER_MS);
+	far = bf_roster_find(bed->nodes[1], bed->names[0]);
+	g_assert_nonnull(far);
+	g_assert_cmpint(far->state.target_state, ==, BF_TARGET_DRAINING);
+	bed_free(bed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -857,5 +911,7 @@
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
 	g_test_add_func("/mesh/good-move", test_good_move);
 	g_test_add_func("/mesh/bad-move", test_bad_move);
+	g_test_add_func("/mesh/far-told-seldom", test_far_told_seldom);
+	g_test_add_func("/mesh/leaving-told-far", test_leaving_told_far);
 	return g_test_run();
 }
