Let two relays a zone follow the store and send differences to the others

Ruled out: the store's latency (versions reached wide links at once). Change: mesh/relays.h chooses two nodes of a zone (answered by the store, widest link, name); they watch and push mesh/delta.h differences to their zone; others ask a peer only without progress for 0.5 s (1.2 s between zones). Orders of moves go to all nodes; a new version is proven by a list of the orders alone. An own entry written again is not followed by a list of all.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -44,6 +44,8 @@
 	bf_target_state_t target_state;
 	bool stopping; /* the node itself */
 	bool store_up; /* it can write to the store */
+	bool relay;    /* it follows the operators' keys in the store */
+	uint32_t link_mbps;
 	uint64_t config_version;
 	bf_load_t load;
 } bf_node_state_t;
@@ -77,6 +79,7 @@
 	bf_node_state_t state;
 	uint32_t sent;         /* calls since the last report */
 	bf_time_us_t newer_us; /* since when its configuration is newer */
+	uint64_t config_sent;  /* the version that this node last sent it */
 
 	/* Runs of its target; what was there when a move began. */
 	bf_run_tallies_t runs;
@@ -263,12 +266,21 @@
 	bf_listener_t listener;
 
 	/* Configuration. */
+	bf_time_us_t start_us;
+	bool relay;                 /* this node follows the operators' keys */
+	bf_time_us_t relay_us;      /* last chosen to do so */
 	bf_kv_call_t outcomes_call; /* reads the outcomes of moves */
 	bf_timer_t outcomes_timer;
 	uint32_t outcomes_failures;
-	bf_follow_t follow;
+	bf_follow_t follow;    /* the operators' keys, when it is a relay */
+	bf_follow_t orders;    /* lists the orders of moves */
 	bf_routing_t *routing; /* NULL: none known yet */
 	bf_bytes_t config;     /* as it was written, for peers */
+	bf_digest_t config_digest;
+	bf_bytes_t config_before; /* the one before it */
+	bf_digest_t before_digest;
+	uint64_t before_version;
+	bf_bytes_t config_delta; /* between the two; empty: not made yet */
 	bf_time_us_t config_us;
 	bf_time_us_t ask_config_us; /* no peer is asked before */
 
@@ -347,11 +359,21 @@
 /* mesh/source.c: configuration and orders. */
 void bf_source_start(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_source_stop(bf_mesh_t *mesh);
-/* Reads all that operators wrote again. */
+/* Begins or ends to follow the operators' keys, as other nodes come and go. */
+void bf_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Reads all orders of moves again. */
 void bf_source_refresh(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* A configuration as a peer or the store has it. */
 void bf_source_take(bf_mesh_t *mesh, const void *data, size_t bytes,
     const char *from, bf_time_us_t now_us);
+/* Asks the peer for its configuration. */
+void bf_source_ask(bf_peer_t *peer, bf_time_us_t now_us);
+/* The other side of the link asks for the configuration. */
+void bf_source_asked(bf_mesh_t *mesh, bf_mesh_link_t *link,
+    bf_wire_reader_t *reader, bf_time_us_t now_us);
+/* A peer's configuration, whole or as a difference. */
+void bf_source_heard(bf_peer_t *peer, const bf_frame_t *frame,
+    bf_wire_reader_t *reader, bf_time_us_t now_us);
 
 /* mesh/movement.c: moves of this mesh. */
 void bf_movement_order(
@@ -372,6 +394,7 @@
 /* Gives up what is being written. */
 void bf_movement_stop(bf_mesh_t *mesh);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Tells the other side of the link of all moves. */
 void bf_movement_tell(
     bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
 void bf_movement_heard(bf_mesh_t *mesh, bf_peer_t *peer,
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -121,6 +121,8 @@
 	bf_movement_stop(mesh);
 	bf_routing_release(mesh->routing);
 	bf_bytes_free(&mesh->config);
+	bf_bytes_free(&mesh->config_before);
+	bf_bytes_free(&mesh->config_delta);
 	bf_wire_writer_free(&mesh->writer);
 	apr_pool_destroy(mesh->pool);
 	free(mesh);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -108,30 +108,6 @@
 	adopt_outcome(known, now_us);
 }
 
-void
-bf_movement_order(
-    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
-{
-	bf_move_order_t order;
-	bf_known_move_t *known;
-	bf_error_t err;
-
-	if (mesh->dialect->decode_order(
-		item->data, item->data_bytes, &order, &err) != BF_OK) {
-		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s,s:s",
-		    "key", item->key, "message", err.message);
-		return;
-	}
-	known = find_or_add(mesh, order.service);
-	if (known == NULL || item->revision <= known->move.order_revision)
-		return;
-	bf_move_begin(&known->move, &order, item->revision, now_us);
-	known->ordered = true;
-	known->span_us = 0;
-	adopt_outcome(known, now_us);
-	log_move(known, "ordered", now_us);
-}
-
 static bf_known_version_t *
 find_version(bf_mesh_t *mesh, const char *service, const char *version)
 {
@@ -264,6 +240,32 @@
 	}
 }
 
+void
+bf_movement_order(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
+{
+	bf_move_order_t order;
+	bf_known_move_t *known;
+	bf_error_t err;
+
+	if (mesh->dialect->decode_order(
+		item->data, item->data_bytes, &order, &err) != BF_OK) {
+		bf_event(mesh->events, BF_EVENT_ENTRY_BAD, now_us, "s:s,s:s",
+		    "key", item->key, "message", err.message);
+		return;
+	}
+	known = find_or_add(mesh, order.service);
+	if (known == NULL || item->revision <= known->move.order_revision)
+		return;
+	bf_move_begin(&known->move, &order, item->revision, now_us);
+	known->ordered = true;
+	known->span_us = 0;
+	adopt_outcome(known, now_us);
+	log_move(known, "ordered", now_us);
+	/* Most nodes do not follow the store. */
+	tell_all(known, now_us);
+}
+
 void
 bf_movement_heard(bf_mesh_t *mesh, bf_peer_t *peer, bf_wire_reader_t *reader,
     bf_time_us_t now_us)
@@ -288,7 +290,8 @@
 	/* An end is final, whoever says it; a share is the leader's to say. */
 	if (!newer && known->move.state != BF_MOVE_ACTIVE)
 		return;
-	if (!newer && heard.state == BF_MOVE_ACTIVE && leads(mesh))
+	if (!newer && heard.state == BF_MOVE_ACTIVE &&
+	    find_leader(mesh) != peer)
 		return;
 	differs = newer || heard.state != known->move.state ||
 	    heard.share_ppm != known->move.share_ppm;
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -216,13 +216,20 @@
 static void
 take_written(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
+	bool is_first = mesh->listed_us == 0;
+
 	mesh->member_revision = reply->revision;
-	mesh->member_step = BF_MEMBER_LIST;
 	mesh->list_after[0] = '\0';
 	bf_event(mesh->events, BF_EVENT_MEMBER, now_us, "s:s,s:I,s:I", "state",
 	    "registered", "lease", (json_int_t)mesh->lease, "revision",
 	    (json_int_t)reply->revision);
-	next_call(mesh, now_us);
+	/* Later the nodes that start dial this one. */
+	mesh->member_step = is_first ? BF_MEMBER_LIST : BF_MEMBER_RENEW;
+	if (is_first)
+		next_call(mesh, now_us);
+	else
+		bf_loop_timer(
+		    mesh->loop, &mesh->member_timer, now_us + RENEW_US);
 }
 
 static void
@@ -278,6 +285,7 @@
 		    "state", "lapsed", "lease", (json_int_t)mesh->lease);
 		mesh->member_step = BF_MEMBER_GRANT;
 		mesh->member_revision = 0;
+		mesh->listed_us = 0; /* others may have lapsed as well */
 		next_call(mesh, now_us);
 		return;
 	default:
--- /dev/null
+++ b/mesh/relays.c
@@ -0,0 +1,32 @@
+#include <string.h>
+
+#include "mesh/relays.h"
+
+static bool
+goes_before(const bf_relay_candidate_t *a, const bf_relay_candidate_t *b)
+{
+	if (a->store_up != b->store_up)
+		return a->store_up;
+	if (a->link_mbps != b->link_mbps)
+		return a->link_mbps > b->link_mbps;
+	return strcmp(a->instance, b->instance) < 0;
+}
+
+bool
+bf_relays_include_self(
+    const bf_relay_candidate_t *candidates, size_t count, uint32_t wanted)
+{
+	const bf_relay_candidate_t *self = NULL;
+	uint32_t before = 0;
+	size_t i;
+
+	for (i = 0; i < count; i++) {
+		if (candidates[i].self)
+			self = &candidates[i];
+	}
+	if (self == NULL)
+		return false;
+	for (i = 0; i < count; i++)
+		before += goes_before(&candidates[i], self) ? 1 : 0;
+	return before < wanted;
+}
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -41,10 +41,12 @@
 /* A peer that neither the store lists nor answers is forgotten after this. */
 #define FORGET_US (5 * BF_US_PER_S)
 /*
- * A newer configuration elsewhere is asked for after this much patience: over
- * twice the pause between watches of the store, which brings most of them.
+ * A newer configuration elsewhere is asked for after this much patience, since
+ * the relays of the own zone send most of them: somewhat over the pause between
+ * their watches of the store, and more where it would pass between zones.
  */
-#define CONFIG_PATIENCE_US (900 * BF_US_PER_MS)
+#define CONFIG_PATIENCE_US (500 * BF_US_PER_MS)
+#define CONFIG_FAR_PATIENCE_US (1200 * BF_US_PER_MS)
 /* The next peer is asked after one to two of these. */
 #define CONFIG_AGAIN_US (300 * BF_US_PER_MS)
 
@@ -92,6 +94,8 @@
 		.incarnation = mesh->incarnation,
 		.stopping = mesh->closing,
 		.store_up = mesh->store_up,
+		.relay = mesh->relay,
+		.link_mbps = mesh->options.link_mbps,
 		.config_version = mesh->routing != NULL
 		    ? bf_routing_version(mesh->routing)
 		    : 0,
@@ -116,6 +120,8 @@
 	bf_wire_write_uint(writer, state->target_state);
 	bf_wire_write_uint(writer, state->stopping);
 	bf_wire_write_uint(writer, state->store_up);
+	bf_wire_write_uint(writer, state->relay);
+	bf_wire_write_uint(writer, state->link_mbps);
 	bf_wire_write_uint(writer, state->config_version);
 	bf_wire_write_load(writer, &state->load);
 }
@@ -132,6 +138,8 @@
 	    (bf_target_state_t)bf_wire_read_uint(reader, BF_TARGET_DRAINING);
 	state->stopping = bf_wire_read_uint(reader, 1) != 0;
 	state->store_up = bf_wire_read_uint(reader, 1) != 0;
+	state->relay = bf_wire_read_uint(reader, 1) != 0;
+	state->link_mbps = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
 	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
 	bf_wire_read_load(reader, &state->load);
 }
@@ -158,7 +166,7 @@
 same_identity(const bf_node_state_t *a, const bf_node_state_t *b)
 {
 	return same_target(a, b) && a->store_up == b->store_up &&
-	    a->config_version == b->config_version;
+	    a->relay == b->relay && a->config_version == b->config_version;
 }
 
 static bool
@@ -203,7 +211,11 @@
 		mesh->told = state;
 		mesh->told_us = now_us;
 	}
+	/* Relays tell of a new configuration, as their zone may hear of none.
+	 */
 	if (!same_target(&state, &mesh->told_far) ||
+	    (state.relay &&
+		state.config_version != mesh->told_far.config_version) ||
 	    now_us - mesh->told_far_us >= far_cadence.tell_us) {
 		tell_zone(mesh, false, &state,
 		    !same_identity(&state, &mesh->told_far), now_us);
@@ -233,7 +245,10 @@
 static void
 ask_config(bf_peer_t *peer, bf_time_us_t now_us)
 {
+	bf_time_us_t patience_us =
+	    peer->near ? CONFIG_PATIENCE_US : CONFIG_FAR_PATIENCE_US;
 	bf_mesh_t *mesh = peer->mesh;
+	bf_time_us_t since_us;
 	uint64_t version;
 
 	version = mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0;
@@ -243,14 +258,15 @@
 	}
 	if (peer->newer_us == 0)
 		peer->newer_us = now_us;
-	if ((mesh->routing != NULL &&
-		now_us - peer->newer_us < CONFIG_PATIENCE_US) ||
-	    now_us < mesh->ask_config_us)
+	/* In a series of changes those that came show that more will. */
+	since_us = peer->newer_us > mesh->config_us ? peer->newer_us
+						    : mesh->config_us;
+	if (now_us < mesh->ask_config_us ||
+	    (mesh->routing != NULL && now_us - since_us < patience_us))
 		return;
 	mesh->ask_config_us = now_us + CONFIG_AGAIN_US +
 	    (bf_time_us_t)(bf_place_random(&mesh->random) % CONFIG_AGAIN_US);
-	bf_mesh_link_send(
-	    peer->link, BF_FRAME_CONFIG_GET, 0, NULL, NULL, now_us);
+	bf_source_ask(peer, now_us);
 }
 
 static void
@@ -349,8 +365,7 @@
 		take_answer(peer, frame, &reader, now_us);
 		break;
 	case BF_FRAME_CONFIG:
-		bf_source_take(peer->mesh, frame->body, frame->body_bytes,
-		    peer->instance, now_us);
+		bf_source_heard(peer, frame, &reader, now_us);
 		break;
 	case BF_FRAME_RUNS:
 		bf_movement_read_runs(peer, &reader);
@@ -411,6 +426,7 @@
 	peer->open = true;
 	peer->silent = false;
 	peer->failures = 0;
+	peer->config_sent = 0;
 	bf_wire_write_text(&mesh->writer, self->instance);
 	bf_wire_write_text(&mesh->writer, self->zone);
 	bf_wire_write_text(&mesh->writer, self->address_text);
@@ -677,9 +693,7 @@
 		bf_target_cancel(mesh, inbound, frame->call, now_us);
 		break;
 	case BF_FRAME_CONFIG_GET:
-		if (mesh->routing != NULL)
-			bf_mesh_link_send(link, BF_FRAME_CONFIG, 0, NULL,
-			    &mesh->config, now_us);
+		bf_source_asked(mesh, link, &reader, now_us);
 		break;
 	case BF_FRAME_MOVE:
 		if (inbound->peer != NULL)
@@ -773,10 +787,13 @@
 	for (peer = mesh->peers; peer != NULL; peer = next) {
 		next = peer->next;
 		near_count += peer->near ? 1 : 0;
+		if (peer->newer_us != 0 && peer->open)
+			ask_config(peer, now_us);
 		check_silence(peer, now_us);
 		check_missing(peer, now_us);
 	}
 	bf_target_tick(mesh, now_us);
+	bf_source_tick(mesh, now_us);
 	bf_movement_tick(mesh, now_us);
 	tell_changes(mesh, now_us);
 	pause_us = near_count * TICK_PEER_US;
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -1,38 +1,54 @@
 #include <string.h>
 
+#include "mesh/delta.h"
 #include "mesh/internal.h"
+#include "mesh/relays.h"
 
 /*
- * The operators' side of the store: the configuration and the orders of moves,
- * followed below one prefix; and the outcomes of moves, read once at start.
+ * The operators' side of the store: the configuration and the orders of moves.
+ * The relays of each availability zone follow them, after they read the
+ * outcomes of moves; they send the others of their zone what has changed.
  */
 
 /*
- * Longest wait of a watch.  A connection to the store can go silent for good,
- * and a change must be in force two seconds after it was made or the
- * connections harmed; with more nodes each waits longer, since one that hears
- * of a change tells the others.
+ * Longest wait of a watch: a connection to the store can go silent for good,
+ * and is found out only then.  A second over the two in which a change must be
+ * in force: within that time only the relays of one zone would be late.
  */
-#define WATCH_MS_MIN 3000
-#define WATCH_MS_MAX 15000
-#define WATCH_PEER_MS 600
+#define WATCH_MS 3000
 /*
  * Changes often come in series; a watch begun this much later answers for
  * several of them.  A fifth of the time in which a change must be in force.
  */
 #define GATHER_US (400 * BF_US_PER_MS)
+/* A starting node looks around this long before it takes itself for a relay. */
+#define LOOK_US (400 * BF_US_PER_MS)
+/* A relay goes on this long beside its successor, which reads all first. */
+#define HANDOVER_US (2 * BF_US_PER_S)
+/* Nodes of a zone that are compared; with more, some more may be relays. */
+#define CANDIDATES_MAX 512
+/* Longest configuration: a value of the store, and some. */
+#define CONFIG_BYTES_MAX ((size_t)4 << 20)
 
 static void
 put_in_force(bf_mesh_t *mesh, bf_routing_t *routing, const void *data,
     size_t bytes, bf_time_us_t now_us)
 {
 	const bf_caller_limits_t *limits = bf_routing_limits(routing);
+	bf_bytes_t before = mesh->config_before;
 
+	mesh->before_version =
+	    mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0;
+	mesh->before_digest = mesh->config_digest;
+	mesh->config_before = mesh->config;
+	bf_bytes_clear(&mesh->config_delta);
 	bf_routing_release(mesh->routing);
 	mesh->routing = routing;
 	mesh->config_us = now_us;
-	bf_bytes_clear(&mesh->config);
-	bf_bytes_add(&mesh->config, data, bytes);
+	bf_bytes_clear(&before);
+	bf_bytes_add(&before, data, bytes);
+	mesh->config = before;
+	mesh->config_digest = bf_digest_of(data, bytes);
 	bf_http_server_limit(&mesh->callers,
 	    &(bf_http_limits_t){
 		.head_bytes = limits->head_bytes,
@@ -42,6 +58,125 @@
 	    });
 }
 
+static void
+write_digest(bf_wire_writer_t *writer, bf_digest_t digest)
+{
+	bf_wire_write_uint(writer, digest.high);
+	bf_wire_write_uint(writer, digest.low);
+}
+
+static bf_digest_t
+read_digest(bf_wire_reader_t *reader)
+{
+	bf_digest_t digest;
+
+	digest.high = bf_wire_read_uint(reader, UINT64_MAX);
+	digest.low = bf_wire_read_uint(reader, UINT64_MAX);
+	return digest;
+}
+
+void
+bf_source_ask(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+
+	write_digest(&mesh->writer, mesh->config_digest);
+	bf_mesh_link_send(
+	    peer->link, BF_FRAME_CONFIG_GET, 0, &mesh->writer, NULL, now_us);
+}
+
+/* Sends what the other side needs, which holds a configuration of that digest.
+ */
+static void
+send_config(bf_mesh_t *mesh, bf_mesh_link_t *link, bf_digest_t held,
+    bf_time_us_t now_us)
+{
+	bool differs = bf_bytes_count(&mesh->config_before) > 0 &&
+	    bf_digest_equal(held, mesh->before_digest);
+
+	if (differs && bf_bytes_count(&mesh->config_delta) == 0 &&
+	    bf_delta_make(&mesh->config_before, &mesh->config,
+		&mesh->config_delta) != BF_OK) {
+		bf_bytes_clear(&mesh->config_delta);
+		differs = false; /* no memory for it: send the whole */
+	}
+	bf_wire_write_uint(&mesh->writer, differs);
+	write_digest(&mesh->writer, held);
+	bf_mesh_link_send(link, BF_FRAME_CONFIG, 0, &mesh->writer,
+	    differs ? &mesh->config_delta : &mesh->config, now_us);
+}
+
+void
+bf_source_asked(bf_mesh_t *mesh, bf_mesh_link_t *link, bf_wire_reader_t *reader,
+    bf_time_us_t now_us)
+{
+	bf_digest_t held = read_digest(reader);
+
+	if (reader->code == BF_OK && mesh->routing != NULL)
+		send_config(mesh, link, held, now_us);
+}
+
+void
+bf_source_heard(bf_peer_t *peer, const bf_frame_t *frame,
+    bf_wire_reader_t *reader, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = peer->mesh;
+	bf_bytes_t whole = { 0 };
+	bf_digest_t held;
+	bool differs;
+
+	differs = bf_wire_read_uint(reader, 1) != 0;
+	held = read_digest(reader);
+	if (reader->code != BF_OK)
+		return;
+	if (!differs) {
+		bf_source_take(mesh, frame->body, frame->body_bytes,
+		    peer->instance, now_us);
+		return;
+	}
+	/*
+	 * One from another configuration than the present is of no use; what
+	 * the peer says of its version then leads to a question.
+	 */
+	if (!bf_digest_equal(held, mesh->config_digest))
+		return;
+	if (bf_delta_apply(&mesh->config, frame->body, frame->body_bytes,
+		CONFIG_BYTES_MAX, &whole) == BF_OK)
+		bf_source_take(mesh, bf_bytes_at(&whole),
+		    bf_bytes_count(&whole), peer->instance, now_us);
+	else
+		bf_event(mesh->events, BF_EVENT_CONFIG_BAD, now_us,
+		    "s:s,s:s,s:s,s:I", "from", peer->instance, "error",
+		    bf_code_name(BF_ERR_PARSE), "message",
+		    "the difference does not fit the configuration in force",
+		    "bytes", (json_int_t)frame->body_bytes);
+	bf_bytes_free(&whole);
+}
+
+/* Sends a new configuration to the nodes of the own zone that wait for it. */
+static void
+send_to_zone(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	uint64_t version = bf_routing_version(mesh->routing), held;
+	bf_inbound_t *inbound;
+	bf_peer_t *peer;
+
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		peer = inbound->peer;
+		if (peer == NULL || !peer->near || peer->state.relay)
+			continue;
+		held = peer->state.config_version;
+		if (held < peer->config_sent)
+			held = peer->config_sent;
+		/* Others ask when they hear of it. */
+		if (held >= version || held != mesh->before_version)
+			continue;
+		peer->config_sent = version;
+		send_config(mesh, &inbound->link, mesh->before_digest, now_us);
+	}
+}
+
 void
 bf_source_take(bf_mesh_t *mesh, const void *data, size_t bytes,
     const char *from, bf_time_us_t now_us)
@@ -72,6 +207,8 @@
 	    "version", (json_int_t)version, "before", (json_int_t)before,
 	    "from", from, "routes",
 	    (json_int_t)bf_routing_route_count(routing));
+	if (mesh->relay)
+		send_to_zone(mesh, now_us);
 	bf_roster_tell(mesh, now_us);
 }
 
@@ -91,35 +228,48 @@
 		bf_movement_order(mesh, item, now_us);
 }
 
-static void
-on_listed(bf_follow_t *follow, bf_time_us_t began_us)
-{
-	bf_movement_listed(BF_CONTAINER(follow, bf_mesh_t, follow), began_us);
-}
-
 static void
 on_called(bf_follow_t *follow, bf_code_t code, bf_time_us_t now_us)
 {
 	bf_mesh_store_called(
 	    BF_CONTAINER(follow, bf_mesh_t, follow), "operator", code, now_us);
-	/* More nodes by now, perhaps. */
-	follow->wait_ms = WATCH_MS_MIN +
-	    BF_CONTAINER(follow, bf_mesh_t, follow)->peer_count * WATCH_PEER_MS;
-	if (follow->wait_ms > WATCH_MS_MAX)
-		follow->wait_ms = WATCH_MS_MAX;
 }
 
 static const bf_follow_vtable_t follow_vtable = {
 	.item = on_item,
-	.listed = on_listed,
 	.called = on_called,
 };
 
+static void
+on_order(bf_follow_t *orders, const bf_kv_item_t *item, bf_time_us_t now_us)
+{
+	bf_movement_order(
+	    BF_CONTAINER(orders, bf_mesh_t, orders), item, now_us);
+}
+
+static void
+on_orders_listed(bf_follow_t *orders, bf_time_us_t began_us)
+{
+	bf_movement_listed(BF_CONTAINER(orders, bf_mesh_t, orders), began_us);
+}
+
+static void
+on_orders_called(bf_follow_t *orders, bf_code_t code, bf_time_us_t now_us)
+{
+	bf_mesh_store_called(
+	    BF_CONTAINER(orders, bf_mesh_t, orders), "orders", code, now_us);
+}
+
+static const bf_follow_vtable_t orders_vtable = {
+	.item = on_order,
+	.listed = on_orders_listed,
+	.called = on_orders_called,
+};
+
 void
 bf_source_refresh(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	if (mesh->follow.vtable != NULL)
-		bf_follow_refresh(&mesh->follow, now_us);
+	bf_follow_refresh(&mesh->orders, now_us);
 }
 
 static void
@@ -130,7 +280,7 @@
 		.kv = mesh->kv,
 		.loop = mesh->loop,
 		.prefix = mesh->dialect->operator_prefix,
-		.wait_ms = WATCH_MS_MIN,
+		.wait_ms = WATCH_MS,
 		.gather_us = GATHER_US,
 		.random = bf_place_random(&mesh->random),
 	};
@@ -174,20 +324,90 @@
  * Outcomes come first: a version that was taken back gets no call between the
  * reading of its order and that of its outcome.
  */
-void
-bf_source_start(bf_mesh_t *mesh, bf_time_us_t now_us)
+static void
+begin_relay(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	mesh->outcomes_call.done = on_outcomes;
-	mesh->outcomes_timer.fire = on_outcomes_timer;
+	mesh->relay = true;
+	mesh->outcomes_failures = 0;
 	list_outcomes(mesh, now_us);
+	bf_event(
+	    mesh->events, BF_EVENT_RELAY, now_us, "s:s", "change", "begins");
 }
 
-void
-bf_source_stop(bf_mesh_t *mesh)
+static void
+end_relay(bf_mesh_t *mesh)
 {
+	mesh->relay = false;
 	bf_loop_timer_cancel(mesh->loop, &mesh->outcomes_timer);
 	if (mesh->outcomes_call.state != NULL)
 		mesh->kv->vtable->cancel(mesh->kv, &mesh->outcomes_call);
 	if (mesh->follow.vtable != NULL)
 		bf_follow_stop(&mesh->follow);
 }
+
+/* Whether this node is among the first of its zone. */
+static bool
+should_relay(bf_mesh_t *mesh)
+{
+	bf_relay_candidate_t candidates[CANDIDATES_MAX];
+	const bf_peer_t *peer;
+	size_t count = 0;
+
+	candidates[count++] =
+	    (bf_relay_candidate_t){ .instance = mesh->self->instance,
+		    .link_mbps = mesh->options.link_mbps,
+		    .store_up = mesh->store_up || !mesh->store_known,
+		    .self = true };
+	for (peer = mesh->peers; peer != NULL && count < CANDIDATES_MAX;
+	     peer = peer->next) {
+		if (peer->self || !peer->near || !peer->open || !peer->heard ||
+		    peer->silent || peer->state.stopping)
+			continue;
+		candidates[count++] =
+		    (bf_relay_candidate_t){ .instance = peer->instance,
+			    .link_mbps = peer->state.link_mbps,
+			    .store_up = peer->state.store_up };
+	}
+	return bf_relays_include_self(candidates, count, BF_RELAYS_PER_ZONE);
+}
+
+void
+bf_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (mesh->stopping || now_us - mesh->start_us < LOOK_US)
+		return;
+	if (should_relay(mesh)) {
+		mesh->relay_us = now_us;
+		if (!mesh->relay)
+			begin_relay(mesh, now_us);
+	} else if (mesh->relay && now_us - mesh->relay_us > HANDOVER_US) {
+		end_relay(mesh);
+		bf_event(mesh->events, BF_EVENT_RELAY, now_us, "s:s", "change",
+		    "ends");
+	}
+}
+
+void
+bf_source_start(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	mesh->start_us = now_us;
+	mesh->outcomes_call.done = on_outcomes;
+	mesh->outcomes_timer.fire = on_outcomes_timer;
+	mesh->orders = (bf_follow_t){
+		.vtable = &orders_vtable,
+		.kv = mesh->kv,
+		.loop = mesh->loop,
+		.prefix = mesh->dialect->order_prefix,
+		.list_only = true,
+		.random = bf_place_random(&mesh->random),
+	};
+	bf_follow_init(&mesh->orders);
+}
+
+void
+bf_source_stop(bf_mesh_t *mesh)
+{
+	end_relay(mesh);
+	if (mesh->orders.vtable != NULL)
+		bf_follow_stop(&mesh->orders);
+}
--- a/observe/events.c
+++ b/observe/events.c
@@ -37,6 +37,7 @@
 	[BF_EVENT_PEER_DOWN] = { "peer-down", 50 },
 	[BF_EVENT_PEER_GONE] = { "peer-gone", 50 },
 	[BF_EVENT_MEMBER] = { "member", 20 },
+	[BF_EVENT_RELAY] = { "relay", 20 },
 	[BF_EVENT_TARGET] = { "target", 20 },
 	[BF_EVENT_CONFIG] = { "config", 50 },
 	[BF_EVENT_CONFIG_BAD] = { "config-refused", 20 },
--- a/observe/events.h
+++ b/observe/events.h
@@ -25,6 +25,7 @@
 	BF_EVENT_PEER_DOWN,
 	BF_EVENT_PEER_GONE,  /* forgotten */
 	BF_EVENT_MEMBER,     /* the own entry in the store */
+	BF_EVENT_RELAY,      /* begins or ends to follow operators' keys */
 	BF_EVENT_TARGET,     /* the target beside the node */
 	BF_EVENT_CONFIG,     /* put in force */
 	BF_EVENT_CONFIG_BAD, /* refused */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -7,6 +7,7 @@
 #define MINUTE_MS 60000
 #define CONNECTIONS_MAX 1000000
 #define SHARE_MAX 10.0
+#define MBPS_MAX 1000000.0
 #define PPM 1000000.0
 #define GRACE_S_MAX 86400.0
 #define MS_PER_S 1000.0
@@ -41,6 +42,7 @@
 	NEEDED("availability_zone", AT(node.availability_zone), name_valid,
 	    NAME_EXPECTED),
 	NEEDED("service", AT(node.service), name_valid, NAME_EXPECTED),
+	{ .key = "link_mbps", .kind = BF_FIELD_OTHER }, /* a fraction */
 };
 
 static const bf_field_t caller_fields[] = {
@@ -168,6 +170,8 @@
 	}
 	read_fraction(root, "repeats", "share", SHARE_MAX, PPM,
 	    &settings->repeats.share_ppm, problems);
+	read_fraction(root, "node", "link_mbps", MBPS_MAX, 1,
+	    &settings->node.link_mbps, problems);
 	read_fraction(root, "stop", "grace_s", GRACE_S_MAX, MS_PER_S,
 	    &settings->stop.grace_ms, problems);
 	return bf_problems_code(problems);
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -15,6 +15,7 @@
 		const char *instance;
 		const char *availability_zone;
 		const char *service;
+		uint32_t link_mbps; /* 0: not known */
 	} node;
 	struct {
 		const char *listen;
--- a/store/follow.c
+++ b/store/follow.c
@@ -98,6 +98,8 @@
 		follow->failures = 0;
 		changed = !follow->listing && reply->item_count > 0;
 		take_items(follow, reply, now_us);
+		if (follow->list_only && !follow->listing)
+			return;
 		if (changed && !follow->listing)
 			bf_loop_timer(follow->loop, &follow->retry,
 			    now_us + follow->gather_us);
@@ -129,10 +131,16 @@
 }
 
 void
-bf_follow_start(bf_follow_t *follow, bf_time_us_t now_us)
+bf_follow_init(bf_follow_t *follow)
 {
 	follow->call = (bf_kv_call_t){ .done = on_done };
 	follow->retry = (bf_timer_t){ .fire = on_retry };
+}
+
+void
+bf_follow_start(bf_follow_t *follow, bf_time_us_t now_us)
+{
+	bf_follow_init(follow);
 	begin_list(follow);
 	next_call(follow, now_us);
 }
--- a/store/follow.h
+++ b/store/follow.h
@@ -7,7 +7,8 @@
 /*
  * Follows all keys below a prefix: lists them, watches for changes, and lists
  * again when the history that a watch needs is gone.  An item may be told more
- * than once; its revision tells which telling is newer.
+ * than once; its revision tells which telling is newer.  One that only lists
+ * watches nothing and lists when it is refreshed.
  */
 
 typedef struct bf_follow bf_follow_t;
@@ -27,6 +28,7 @@
 	bf_kv_t *kv;
 	bf_loop_t *loop;
 	const char *prefix;
+	bool list_only;
 	uint32_t wait_ms;       /* longest wait of a watch */
 	bf_time_us_t gather_us; /* pause after a change: more may follow */
 	uint64_t random;        /* state of the generator for jitter, not 0 */
@@ -44,6 +46,8 @@
 };
 
 /* The fields above "Private" are set by the caller. */
+void bf_follow_init(bf_follow_t *follow);
+/* Also initialises it. */
 void bf_follow_start(bf_follow_t *follow, bf_time_us_t now_us);
 void bf_follow_stop(bf_follow_t *follow);
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -869,6 +869,69 @@
 	bed_free(bed);
 }
 
+static uint32_t
+relays_of(const mesh_bed_t *bed)
+{
+	uint32_t count = 0, i;
+
+	for (i = 0; i < bed->node_count; i++)
+		count += bed->nodes[i]->relay ? 1 : 0;
+	return count;
+}
+
+/*
+ * Two nodes of each zone follow the store and send a change to the others, as
+ * the difference; where one of them is gone another follows.
+ */
+static void
+test_relays(void)
+{
+	mesh_bed_t *bed = bed_new(6);
+	GString *text = g_string_new("5\n/read/ safe shop 800 200 2 2\n");
+	uint64_t told_bytes;
+	uint32_t i;
+
+	for (i = 0; i < 80; i++)
+		g_string_append_printf(
+		    text, "/idle-%02u/ safe shop 800 200 2 2\n", i);
+	bed_configure(bed, text->str);
+	bed_run(bed, BF_US_PER_S);
+	g_assert_cmpuint(relays_of(bed), ==, 4);
+	g_assert_false(bed->nodes[4]->relay);
+	told_bytes = bytes_told(bed, 0, 4) + bytes_told(bed, 2, 4);
+	text->str[0] = '6';
+	g_string_append(text, "/new/ safe shop 800 200 2 2\n");
+	bed_configure(bed, text->str);
+	for (i = 0; i < bed->node_count; i++)
+		g_assert_cmpuint(
+		    bf_routing_version(bed->nodes[i]->routing), ==, 6);
+	told_bytes = bytes_told(bed, 0, 4) + bytes_told(bed, 2, 4) - told_bytes;
+	g_assert_cmpuint(told_bytes, <, text->len / 2);
+	/* n2 stops, and n4 follows the store in its place. */
+	bed->nodes[2]->closing = true;
+	bf_roster_tell(bed->nodes[2], bf_clock_monotonic_us());
+	bed_run(bed, 300 * BF_US_PER_MS);
+	g_assert_true(bed->nodes[4]->relay);
+	g_string_free(text, TRUE);
+	bed_free(bed);
+}
+
+/* An order of a move reaches nodes that do not follow the store. */
+static void
+test_orders_by_relays(void)
+{
+	mesh_bed_t *bed = bed_new(6);
+
+	bed_configure(bed, CONFIG);
+	bed_run(bed, BF_US_PER_S);
+	g_assert_false(bed->nodes[5]->relay);
+	bed_put(bed, "ops/move/shop", "shop v2 20000");
+	bed_run(bed, BF_US_PER_S);
+	g_assert_cmpuint(bed->nodes[5]->move_count, ==, 1);
+	g_assert_cmpstr(bed->nodes[5]->moves[0].move.version, ==, "v2");
+	bed_free(bed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -913,5 +976,7 @@
 	g_test_add_func("/mesh/bad-move", test_bad_move);
 	g_test_add_func("/mesh/far-told-seldom", test_far_told_seldom);
 	g_test_add_func("/mesh/leaving-told-far", test_leaving_told_far);
+	g_test_add_func("/mesh/relays", test_relays);
+	g_test_add_func("/mesh/orders-by-relays", test_orders_by_relays);
 	return g_test_run();
 }
