--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -221,6 +221,7 @@
 		.retry_burst = s->repeats.burst,
 		.connections_max = s->callers.connections_max,
 		.link_mbps = s->node.link_mbps,
+		.first_start = s->node.first_start,
 	};
 
 	meshd->loop = bf_loop_new(err);
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -84,14 +84,23 @@
 	return names[cause];
 }
 
+static void
+end_offer(bf_entry_call_t *call)
+{
+	if (call->peer == NULL)
+		return;
+	apr_hash_set(
+	    call->mesh->calls, &call->offer, sizeof(call->offer), NULL);
+	call->peer->outstanding--;
+	call->peer = NULL;
+}
+
 static void
 free_call(bf_entry_call_t *call)
 {
 	bf_mesh_t *mesh = call->mesh;
 
-	if (call->peer != NULL)
-		apr_hash_set(
-		    mesh->calls, &call->offer, sizeof(call->offer), NULL);
+	end_offer(call);
 	bf_loop_timer_cancel(mesh->loop, &call->timeout);
 	bf_routing_release(call->routing);
 	bf_bytes_free(&call->head);
@@ -381,6 +390,7 @@
 	offer.id = call->offer;
 	call->tried[call->offers++] = peer;
 	call->peer = peer;
+	peer->outstanding++;
 	apr_hash_set(mesh->calls, &call->offer, sizeof(call->offer), call);
 	if (bf_events_sampled(mesh->events, call->request_id))
 		bf_event(mesh->events, BF_EVENT_PLACED, now_us,
@@ -476,16 +486,6 @@
 	send_offer(call, peers[chosen], on_time, now_us);
 }
 
-static void
-end_offer(bf_entry_call_t *call)
-{
-	if (call->peer == NULL)
-		return;
-	apr_hash_set(
-	    call->mesh->calls, &call->offer, sizeof(call->offer), NULL);
-	call->peer = NULL;
-}
-
 /* Whether one more target may be sent a call that a target has, or had. */
 static bool
 may_repeat(bf_entry_call_t *call, bf_time_us_t now_us)
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -19,7 +19,8 @@
 	BF_FRAME_CONFIG_GET, /* send the configuration in force */
 	BF_FRAME_CONFIG,
 	BF_FRAME_RUNS, /* what the runs of the target showed */
-	BF_FRAME_MOVE  /* the present state of a move */
+	BF_FRAME_MOVE, /* the present state of a move */
+	BF_FRAME_PROBE /* tell your load now */
 } bf_frame_kind_t;
 
 typedef struct bf_frame {
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -34,6 +34,7 @@
 	uint32_t retry_burst;       /* repeats beyond that, of the whole mesh */
 	uint32_t connections_max;   /* of callers */
 	uint32_t link_mbps;         /* of the instance; 0: not known */
+	bool first_start;           /* the whole mesh starts the first time */
 } bf_mesh_options_t;
 
 /* What the target beside this node says of itself. */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -13,6 +13,15 @@
 /* With many peers less often, so that telling costs under 1 % of a core. */
 #define TICK_PEER_US (2 * BF_US_PER_MS)
 
+/*
+ * A node of another zone that has calls and says nothing for the first time is
+ * asked whether it is there; without a word it is silent after the second and
+ * given up after the third, as one of the own zone is.
+ */
+#define PROBE_US (250 * BF_US_PER_MS)
+#define PROBE_SILENT_US (450 * BF_US_PER_MS)
+#define PROBE_LOST_US (1350 * BF_US_PER_MS)
+
 /* How often nodes tell each other something, and what silence means. */
 typedef struct bf_cadence {
 	bf_time_us_t tell_us;   /* at least this often: silence is a sign */
@@ -176,6 +185,14 @@
 	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
 }
 
+static void
+tell_load(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_load_t *load,
+    bf_time_us_t now_us)
+{
+	bf_wire_write_load(&mesh->writer, load);
+	bf_mesh_link_send(link, BF_FRAME_LOAD, 0, &mesh->writer, NULL, now_us);
+}
+
 /* Tells the nodes of the own zone, or those of all others. */
 static void
 tell_zone(bf_mesh_t *mesh, bool near, const bf_node_state_t *state, bool whole,
@@ -187,13 +204,10 @@
 	     inbound = inbound->next) {
 		if (inbound->peer == NULL || inbound->peer->near != near)
 			continue;
-		if (whole) {
+		if (whole)
 			tell_state(mesh, &inbound->link, state, now_us);
-			continue;
-		}
-		bf_wire_write_load(&mesh->writer, &state->load);
-		bf_mesh_link_send(&inbound->link, BF_FRAME_LOAD, 0,
-		    &mesh->writer, NULL, now_us);
+		else
+			tell_load(mesh, &inbound->link, &state->load, now_us);
 	}
 }
 
@@ -259,8 +273,8 @@
 	if (peer->newer_us == 0)
 		peer->newer_us = now_us;
 	/* In a series of changes those that came show that more will. */
-	since_us = peer->newer_us > mesh->config_us ? peer->newer_us
-						    : mesh->config_us;
+	since_us =
+	    peer->newer_us > mesh->config_us ? peer->newer_us : mesh->config_us;
 	if (now_us < mesh->ask_config_us ||
 	    (mesh->routing != NULL && now_us - since_us < patience_us))
 		return;
@@ -344,6 +358,7 @@
 	bf_load_t load;
 
 	peer->silent = false;
+	peer->probe_us = 0;
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_STATE:
@@ -427,6 +442,7 @@
 	peer->silent = false;
 	peer->failures = 0;
 	peer->config_sent = 0;
+	peer->probe_us = 0;
 	bf_wire_write_text(&mesh->writer, self->instance);
 	bf_wire_write_text(&mesh->writer, self->zone);
 	bf_wire_write_text(&mesh->writer, self->address_text);
@@ -680,9 +696,14 @@
 	bf_inbound_t *inbound = (bf_inbound_t *)(void *)link;
 	bf_mesh_t *mesh = inbound->mesh;
 	bf_wire_reader_t reader;
+	bf_load_t load;
 
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
+	case BF_FRAME_PROBE:
+		load = bf_target_load(mesh, now_us);
+		tell_load(mesh, link, &load, now_us);
+		break;
 	case BF_FRAME_HELLO:
 		take_hello(inbound, &reader, now_us);
 		break;
@@ -741,23 +762,45 @@
 	mesh->inbound = inbound;
 }
 
+/* Asks a peer that has calls whether it is there, once in each span. */
+static void
+probe(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	if (peer->outstanding == 0 || now_us - peer->link->heard_us < PROBE_US)
+		return;
+	if (peer->probe_us == 0) {
+		peer->probe_us = now_us;
+		bf_mesh_link_send(
+		    peer->link, BF_FRAME_PROBE, 0, NULL, NULL, now_us);
+	}
+}
+
+static bool
+is_silent_for(const bf_peer_t *peer, bf_time_us_t cadence_us,
+    bf_time_us_t probed_us, bf_time_us_t now_us)
+{
+	return now_us - peer->link->heard_us > cadence_us ||
+	    (peer->probe_us != 0 && now_us - peer->probe_us > probed_us);
+}
+
 static void
 check_silence(bf_peer_t *peer, bf_time_us_t now_us)
 {
 	const bf_cadence_t *cadence = peer->near ? &near_cadence : &far_cadence;
-	bf_time_us_t silent_us;
 
 	if (peer->link == NULL)
 		return;
-	silent_us = now_us - peer->link->heard_us;
 	if (!peer->open) {
-		if (silent_us > DIAL_US)
+		if (now_us - peer->link->heard_us > DIAL_US)
 			lose_link(peer, "no connection in time", now_us);
 		return;
 	}
-	if (silent_us > cadence->lost_us) {
+	if (!peer->near)
+		probe(peer, now_us);
+	if (is_silent_for(peer, cadence->lost_us, PROBE_LOST_US, now_us)) {
 		lose_link(peer, "silent", now_us);
-	} else if (silent_us > cadence->silent_us && !peer->silent) {
+	} else if (!peer->silent &&
+	    is_silent_for(peer, cadence->silent_us, PROBE_SILENT_US, now_us)) {
 		peer->silent = true;
 		bf_entry_peer_lost(peer, false, now_us);
 	}
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -23,6 +23,12 @@
 #define GATHER_US (400 * BF_US_PER_MS)
 /* A starting node looks around this long before it takes itself for a relay. */
 #define LOOK_US (400 * BF_US_PER_MS)
+/*
+ * Where all nodes start anew together none has a configuration to give: each
+ * reads the store itself after the time in which a connection and a first word
+ * pass between nodes.
+ */
+#define LOOK_ALONE_US (150 * BF_US_PER_MS)
 /* A relay goes on this long beside its successor, which reads all first. */
 #define HANDOVER_US (2 * BF_US_PER_S)
 /* Nodes of a zone that are compared; with more, some more may be relays. */
@@ -371,12 +377,42 @@
 	return bf_relays_include_self(candidates, count, BF_RELAYS_PER_ZONE);
 }
 
+/* Whether a node is there that has a configuration. */
+static bool
+peers_have_config(const bf_mesh_t *mesh)
+{
+	const bf_peer_t *peer;
+
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (!peer->self && peer->open && peer->heard && !peer->silent &&
+		    peer->state.config_version > 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Whether this node reads the store although it is no relay: nobody else has
+ * anything.  Not at the very first start, when no caller waits for it.
+ */
+static bool
+must_read(const bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	return mesh->routing == NULL && !mesh->options.first_start &&
+	    now_us - mesh->start_us >= LOOK_ALONE_US &&
+	    !peers_have_config(mesh);
+}
+
 void
 bf_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	if (mesh->stopping || now_us - mesh->start_us < LOOK_US)
+	bool chosen;
+
+	if (mesh->stopping)
 		return;
-	if (should_relay(mesh)) {
+	chosen =
+	    now_us - mesh->start_us >= LOOK_US ? should_relay(mesh) : false;
+	if (chosen || (!mesh->relay && must_read(mesh, now_us))) {
 		mesh->relay_us = now_us;
 		if (!mesh->relay)
 			begin_relay(mesh, now_us);
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -43,6 +43,9 @@
 	    NAME_EXPECTED),
 	NEEDED("service", AT(node.service), name_valid, NAME_EXPECTED),
 	{ .key = "link_mbps", .kind = BF_FIELD_OTHER }, /* a fraction */
+	{ .key = "first_start",
+	    .kind = BF_FIELD_BOOL,
+	    .offset = AT(node.first_start) },
 };
 
 static const bf_field_t caller_fields[] = {
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -1,6 +1,7 @@
 #ifndef BF_SETTINGS_MESHD_H
 #define BF_SETTINGS_MESHD_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 #include <apr_pools.h>
@@ -16,6 +17,7 @@
 		const char *availability_zone;
 		const char *service;
 		uint32_t link_mbps; /* 0: not known */
+		bool first_start;   /* the whole mesh starts the first time */
 	} node;
 	struct {
 		const char *listen;
--- a/tests/mesh_bed.h
+++ b/tests/mesh_bed.h
@@ -140,6 +140,9 @@
 bf_code_t bed_heartbeat(
     mesh_bed_t *bed, uint32_t node, const char *version, bool draining);
 
+/* Starts a node's process, whose former one is freed. */
+void bed_open(mesh_bed_t *bed, uint32_t node);
+
 /* Replaces a node's process by a new one of the same name. */
 void bed_restart(mesh_bed_t *bed, uint32_t node);
 
