--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -214,6 +214,7 @@
 		.service = s->node.service,
 		.callers = address_of(s->callers.listen),
 		.peers = address_of(s->peers.listen),
+		.advertise = s->peers.advertise,
 		.target = address_of(s->target.address),
 		.heartbeat_ms = s->target.heartbeat_ms,
 		.stop_ms = s->stop.grace_ms,
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -185,8 +185,8 @@
 	bf_event(mesh->events, BF_EVENT_STOPPING, now_us, "s:i,s:i",
 	    "entry_calls", (int)mesh->entry_count, "target_calls",
 	    (int)bf_target_busy(mesh));
+	/* The own entry is kept: the next process reads there what has left. */
 	bf_http_server_drain(&mesh->callers);
-	bf_registry_stop(mesh);
 	mesh->stop_timer.fire = on_stop_timer;
 	bf_loop_timer(mesh->loop, &mesh->stop_timer, now_us + STOP_POLL_US);
 }
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -27,6 +27,7 @@
 	const char *service;        /* of the target that belongs here */
 	struct sockaddr_in callers; /* listens for callers here */
 	struct sockaddr_in peers;   /* listens for other nodes here */
+	const char *advertise;      /* told to nodes; NULL: that address */
 	struct sockaddr_in target;  /* where the target listens */
 	uint32_t heartbeat_ms;      /* between heartbeats of the target */
 	uint32_t stop_ms;           /* from the signal to a forced end */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -56,6 +56,11 @@
 
 static const bf_field_t peer_fields[] = {
 	SPECIFIC("listen", AT(peers.listen)),
+	{ .key = "advertise",
+	    .kind = BF_FIELD_TEXT,
+	    .offset = AT(peers.advertise),
+	    .valid = bf_address_specific,
+	    .expected = BF_ADDRESS_EXPECTED },
 };
 
 static const bf_field_t target_fields[] = {
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -24,7 +24,8 @@
 		uint32_t connections_max;
 	} callers;
 	struct {
-		const char *listen; /* told to other nodes */
+		const char *listen;
+		const char *advertise; /* told to other nodes; NULL: listen */
 	} peers;
 	struct {
 		const char *address; /* of the target beside the node */
--- /dev/null
+++ b/tests/soak/proxy.c
@@ -0,0 +1,220 @@
+#include <arpa/inet.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/soak/proxy.h"
+
+/* Of 127.0.0.0/8, of which each process takes its own. */
+#define LOOPBACK_NET 0x7f000000U
+#define LOOPBACK_FIRST 0x00010000U
+#define LOOPBACK_HOSTS 0x00f00000U
+
+#define TICK_US (3 * BF_US_PER_MS)
+
+typedef struct chunk {
+	bf_time_us_t due_us;
+	size_t bytes;
+	uint8_t data[];
+} chunk_t;
+
+typedef struct pair pair_t;
+
+typedef struct half {
+	bf_tcp_t tcp; /* first member */
+	pair_t *pair;
+	GQueue *queue; /* of chunks read here, for the other half */
+	bool ended;
+} half_t;
+
+struct pair {
+	soak_proxy_t *proxy;
+	half_t halves[SOAK_SIDES];
+	bool silent;
+	bool closed;
+};
+
+in_addr_t
+soak_address(void)
+{
+	return htonl(LOOPBACK_NET + LOOPBACK_FIRST +
+	    (uint32_t)getpid() % LOOPBACK_HOSTS);
+}
+
+const char *
+soak_address_text(void)
+{
+	static char text[INET_ADDRSTRLEN];
+	struct in_addr address = { .s_addr = soak_address() };
+
+	(void)inet_ntop(AF_INET, &address, text, sizeof(text));
+	return text;
+}
+
+/* Ends both connections, at once or by a reset. */
+static void
+close_pair(pair_t *pair, bool reset)
+{
+	struct linger now = { .l_onoff = 1, .l_linger = 0 };
+	half_t *half;
+	int i;
+
+	if (pair->closed)
+		return;
+	pair->closed = true;
+	g_ptr_array_remove_fast(pair->proxy->pairs, pair);
+	for (i = 0; i < SOAK_SIDES; i++) {
+		half = &pair->halves[i];
+		if (reset && bf_tcp_is_open(&half->tcp))
+			(void)setsockopt(half->tcp.source.fd, SOL_SOCKET,
+			    SO_LINGER, &now, sizeof(now));
+		bf_tcp_close(&half->tcp);
+		g_queue_free_full(half->queue, g_free);
+	}
+	bf_loop_release(pair->proxy->loop, pair);
+}
+
+static void
+on_received(
+    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+{
+	half_t *half = (half_t *)(void *)tcp;
+	chunk_t *chunk = g_malloc(sizeof(*chunk) + bytes);
+
+	chunk->due_us = now_us + half->pair->proxy->delay_us;
+	chunk->bytes = bytes;
+	memcpy(chunk->data, data, bytes);
+	g_queue_push_tail(half->queue, chunk);
+}
+
+static void
+on_ended(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
+{
+	half_t *half = (half_t *)(void *)tcp;
+
+	(void)now_us;
+	if (orderly)
+		half->ended = true; /* passed on behind what it sent */
+	else
+		close_pair(half->pair, true);
+}
+
+static const bf_tcp_vtable_t half_vtable = {
+	.received = on_received,
+	.ended = on_ended,
+};
+
+static void
+move_on(pair_t *pair, bf_time_us_t now_us)
+{
+	const soak_proxy_t *proxy = pair->proxy;
+	chunk_t *chunk;
+	half_t *half, *other;
+	int i;
+
+	for (i = 0; i < SOAK_SIDES && !pair->closed; i++) {
+		half = &pair->halves[i];
+		other = &pair->halves[1 - i];
+		if (pair->silent || proxy->cut[i])
+			continue;
+		while ((chunk = g_queue_peek_head(half->queue)) != NULL &&
+		    chunk->due_us <= now_us) {
+			g_queue_pop_head(half->queue);
+			if (bf_tcp_is_open(&other->tcp))
+				bf_tcp_send(
+				    &other->tcp, chunk->data, chunk->bytes);
+			g_free(chunk);
+		}
+		if (half->ended && g_queue_is_empty(half->queue) &&
+		    bf_tcp_unsent(&other->tcp) == 0)
+			close_pair(pair, false);
+	}
+}
+
+static void
+on_tick(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	soak_proxy_t *proxy = BF_CONTAINER(timer, soak_proxy_t, tick);
+	guint i;
+
+	for (i = proxy->pairs->len; i > 0; i--) {
+		if (i <= proxy->pairs->len)
+			move_on(g_ptr_array_index(proxy->pairs, i - 1), now_us);
+	}
+	bf_loop_timer(proxy->loop, timer, now_us + TICK_US);
+}
+
+static void
+on_accepted(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
+    bf_time_us_t now_us)
+{
+	soak_proxy_t *proxy = BF_CONTAINER(listener, soak_proxy_t, listener);
+	pair_t *pair = g_malloc0(sizeof(*pair));
+	int i;
+
+	(void)from;
+	(void)now_us;
+	pair->proxy = proxy;
+	for (i = 0; i < SOAK_SIDES; i++) {
+		pair->halves[i].pair = pair;
+		pair->halves[i].queue = g_queue_new();
+	}
+	g_ptr_array_add(proxy->pairs, pair);
+	if (bf_tcp_adopt(&pair->halves[SOAK_DIALLER].tcp, &half_vtable,
+		proxy->loop, fd, NULL) != BF_OK ||
+	    bf_tcp_connect(&pair->halves[SOAK_TARGET].tcp, &half_vtable,
+		proxy->loop, &proxy->target, NULL) != BF_OK)
+		close_pair(pair, true);
+}
+
+void
+soak_proxy_open(
+    soak_proxy_t *proxy, bf_loop_t *loop, const struct sockaddr_in *target)
+{
+	struct sockaddr_in any = { .sin_family = AF_INET };
+
+	any.sin_addr.s_addr = soak_address();
+	*proxy = (soak_proxy_t){
+		.listener = { .accepted = on_accepted },
+		.loop = loop,
+		.target = *target,
+		.pairs = g_ptr_array_new(),
+		.tick = { .fire = on_tick },
+	};
+	g_assert_cmpint(
+	    bf_listener_open(&proxy->listener, loop, &any, NULL), ==, BF_OK);
+	bf_loop_timer(loop, &proxy->tick, bf_clock_monotonic_us());
+}
+
+uint16_t
+soak_proxy_port(const soak_proxy_t *proxy)
+{
+	return bf_listener_port(&proxy->listener);
+}
+
+void
+soak_proxy_reset(soak_proxy_t *proxy)
+{
+	while (proxy->pairs->len > 0)
+		close_pair(g_ptr_array_index(proxy->pairs, 0), true);
+}
+
+void
+soak_proxy_silence(soak_proxy_t *proxy)
+{
+	pair_t *pair;
+	guint i;
+
+	for (i = 0; i < proxy->pairs->len; i++) {
+		pair = g_ptr_array_index(proxy->pairs, i);
+		pair->silent = true;
+	}
+}
+
+void
+soak_proxy_heal(soak_proxy_t *proxy)
+{
+	proxy->delay_us = 0;
+	proxy->cut[SOAK_DIALLER] = false;
+	proxy->cut[SOAK_TARGET] = false;
+}
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1012,6 +1012,25 @@
 	bed_free(bed);
 }
 
+/* A target that leaves while its node stops is not served by the next one. */
+static void
+test_left_during_stop(void)
+{
+	mesh_bed_t *bed = configured(2);
+	bool stopped = false;
+
+	bed_run(bed, SETTLE_US);
+	bf_mesh_stop(
+	    bed->nodes[0], on_stopped, &stopped, bf_clock_monotonic_us());
+	bed_run(bed, 50 * BF_US_PER_MS);
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	bed_run(bed, SETTLE_US);
+	bed_restart(bed, 0);
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	bed_free(bed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1060,5 +1079,6 @@
 	g_test_add_func("/mesh/orders-by-relays", test_orders_by_relays);
 	g_test_add_func("/mesh/far-cut", test_far_cut);
 	g_test_add_func("/mesh/herd-start", test_herd_start);
+	g_test_add_func("/mesh/left-during-stop", test_left_during_stop);
 	return g_test_run();
 }
