Hold a leaving that comes before the node knows its target

The leaving came to a process that had just started and knew no target yet; it was acknowledged and forgotten, and the target then taken as ready from the entry of the former process. Ruled out: the registry of a stopping node (no stop at that time); a restart in between (one process from 28.8 s to 33.9 s). Change: such a leaving is kept and holds for the lifetime of that name that is heard of next. Test: mesh/left-before-known failed before (ready, not draining).

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -181,6 +181,8 @@
 	bool left;                   /* it said that it goes, for good */
 	char left_id[BF_NAME_BYTES]; /* the last that said so, also before */
 	uint64_t left_born_ms;       /* this process began */
+	bool left_unborn;            /* left_born_ms is not known */
+	bf_time_us_t left_us;        /* when it said so to this process */
 	bf_http_client_t client;
 	bf_waiting_t waiting;
 	bf_route_work_t works[BF_ROUTE_WORKS];
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -147,6 +147,8 @@
 		(void)snprintf(mesh->target.left_id,
 		    sizeof(mesh->target.left_id), "%s", left);
 		mesh->target.left_born_ms = (uint64_t)born_ms;
+		mesh->target.left_unborn = born_ms == 0;
+		mesh->target.left_us = now_us;
 	}
 	take_former_target(mesh, json_object_get(entry, "target"), now_us);
 	json_decref(entry);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -22,6 +22,11 @@
 #define IDLE_US (5 * BF_US_PER_S)
 /* A target's own word at the deadline is waited for this long. */
 #define LATE_US (150 * BF_US_PER_MS)
+/*
+ * A target that leaves before this process knows it does not say when it was
+ * born; a lifetime of its name that is heard of within this time is the one.
+ */
+#define LEFT_UNBORN_US (8 * BF_US_PER_S)
 /* Waiting calls are looked at for their time this often. */
 #define EXPIRY_US (10 * BF_US_PER_MS)
 /* Weight of the newest run in the mean of a route, and in failing. */
@@ -746,6 +751,23 @@
 	return BF_OK;
 }
 
+/*
+ * Whether this lifetime has said that it leaves, perhaps to a former process of
+ * this node, or to this one before it knew of the target.
+ */
+static bool
+has_left(
+    bf_own_target_t *target, const bf_heartbeat_t *beat, bf_time_us_t now_us)
+{
+	if (strcmp(target->left_id, beat->id) != 0)
+		return false;
+	if (target->left_unborn && now_us - target->left_us <= LEFT_UNBORN_US) {
+		target->left_unborn = false;
+		target->left_born_ms = beat->born_ms;
+	}
+	return !target->left_unborn && target->left_born_ms == beat->born_ms;
+}
+
 bf_code_t
 bf_mesh_heartbeat(bf_mesh_t *mesh, const bf_heartbeat_t *beat,
     bf_time_us_t now_us, bf_error_t *err)
@@ -765,9 +787,7 @@
 	target->warm_us = now_us + beat->warm_up_ms * BF_US_PER_MS;
 	mesh->self->unproven =
 	    bf_movement_saw(mesh, beat->service, beat->version, now_us);
-	/* It may have said so to a former process of this node. */
-	if (strcmp(target->left_id, beat->id) == 0 &&
-	    target->left_born_ms == beat->born_ms)
+	if (has_left(target, beat, now_us))
 		target->left = true;
 	state = beat->draining || target->left ? BF_TARGET_DRAINING
 					       : BF_TARGET_READY;
@@ -790,11 +810,15 @@
 bf_mesh_target_leaves(bf_mesh_t *mesh, const char *id, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
+	bool known = strcmp(target->beat.id, id) == 0;
 
-	if (strcmp(target->beat.id, id) != 0 || target->left)
+	/* A late word of another lifetime must not hide that this one left. */
+	if (target->left || (!known && target->beat.id[0] != '\0'))
 		return;
-	target->left = true;
-	memcpy(target->left_id, target->beat.id, sizeof(target->left_id));
+	target->left = known;
+	target->left_unborn = !known;
+	target->left_us = now_us;
+	(void)snprintf(target->left_id, sizeof(target->left_id), "%s", id);
 	target->left_born_ms = target->beat.born_ms;
 	bf_registry_update(mesh, now_us);
 	if (target->state == BF_TARGET_READY)
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1031,6 +1031,25 @@
 	bed_free(bed);
 }
 
+/* A leaving that comes before the node's new process knows the target holds. */
+static void
+test_left_before_known(void)
+{
+	mesh_bed_t *bed = configured(2);
+
+	bed_run(bed, SETTLE_US);
+	bed_restart(bed, 0);
+	bf_mesh_target_leaves(bed->nodes[0], "t0", bf_clock_monotonic_us());
+	bed_run(bed, SETTLE_US);
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	/* A later lifetime of that name has not left. */
+	bed->targets[0].born_ms++;
+	bed->targets[0].sequence = 0;
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(bed->nodes[0]->target.state, ==, BF_TARGET_READY);
+	bed_free(bed);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1080,5 +1099,6 @@
 	g_test_add_func("/mesh/far-cut", test_far_cut);
 	g_test_add_func("/mesh/herd-start", test_herd_start);
 	g_test_add_func("/mesh/left-during-stop", test_left_during_stop);
+	g_test_add_func("/mesh/left-before-known", test_left_before_known);
 	return g_test_run();
 }
