Count repeats in a sliding window

Ruled out: attempts of the route (two); time left. Change: mesh/repeats.h allows 0.7 of the shared part of a node's calls in the sliding window, and its part of the extra; [repeats] window_s. Calls that targets made and gave up are logged at their entry. Test: test_repeats.

--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -220,6 +220,7 @@
 		.stop_ms = s->stop.grace_ms,
 		.retry_share_ppm = s->repeats.share_ppm,
 		.retry_burst = s->repeats.burst,
+		.retry_window_ms = s->repeats.window_ms,
 		.connections_max = s->callers.connections_max,
 		.link_mbps = s->node.link_mbps,
 		.first_start = s->node.first_start,
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -27,11 +27,11 @@
 #define RETRY_AFTER_US (100 * BF_US_PER_MS)
 #define RETRY_AFTER_MIN_US (30 * BF_US_PER_MS)
 /*
- * Parts of the shared budget that the nodes use together: a window may begin
- * with all bursts saved up.
+ * Part of the shared budget that the nodes use together: calls are fewer in the
+ * window that is looked at than in that of a node, by up to a third, while
+ * they fall from a peak.
  */
-#define BUDGET_SHARE_PART 0.85
-#define BUDGET_BURST_PART 0.5
+#define BUDGET_PART 0.7
 /*
  * A call stays in its zone while it is expected to end there within the first
  * part of its objective and no longer than the second part later than
@@ -208,27 +208,23 @@
 	finish(call, status, field, "", 0);
 }
 
-static bf_budget_t *
-budget_of(bf_mesh_t *mesh, const char *service)
+static bf_repeats_t *
+repeats_of(bf_mesh_t *mesh, const char *service)
 {
 	bf_service_budget_t *entry;
-	double part, burst;
 	uint32_t i;
 
 	for (i = 0; i < mesh->budget_count; i++) {
 		if (strcmp(mesh->budgets[i].service, service) == 0)
-			return &mesh->budgets[i].budget;
+			return &mesh->budgets[i].repeats;
 	}
 	if (mesh->budget_count == BF_SERVICES_MAX)
 		return NULL;
 	entry = &mesh->budgets[mesh->budget_count++];
 	(void)snprintf(entry->service, sizeof(entry->service), "%s", service);
-	part = BUDGET_SHARE_PART * mesh->options.retry_share_ppm;
-	burst =
-	    BUDGET_BURST_PART * mesh->options.retry_burst / mesh->peer_count;
-	bf_budget_init(
-	    &entry->budget, (uint32_t)part, burst < 1 ? 1 : (uint32_t)burst);
-	return &entry->budget;
+	bf_repeats_init(
+	    &entry->repeats, mesh->options.retry_window_ms * BF_US_PER_MS);
+	return &entry->repeats;
 }
 
 static bf_throttle_t *
@@ -255,14 +251,19 @@
 }
 
 static bool
-take_repeat(bf_entry_call_t *call)
+take_repeat(bf_entry_call_t *call, bf_time_us_t now_us)
 {
-	bf_budget_t *budget = budget_of(call->mesh, call->service);
+	const bf_mesh_t *mesh = call->mesh;
+	bf_repeats_t *repeats = repeats_of(call->mesh, call->service);
+	double share = BUDGET_PART * mesh->options.retry_share_ppm / 1e6;
+	double extra =
+	    BUDGET_PART * mesh->options.retry_burst / mesh->peer_count;
 	bool granted;
 
-	granted = budget != NULL && bf_budget_take(budget);
+	granted =
+	    repeats != NULL && bf_repeats_take(repeats, share, extra, now_us);
 	bf_metric_count(
-	    call->mesh->metrics.repeats, granted ? "granted" : "denied", 1);
+	    mesh->metrics.repeats, granted ? "granted" : "denied", 1);
 	return granted;
 }
 
@@ -492,7 +493,8 @@
 {
 	return call->sends < call->route->attempts &&
 	    call->offers < BF_OFFERS_MAX &&
-	    call->deadline_us - now_us > BF_US_PER_MS && take_repeat(call);
+	    call->deadline_us - now_us > BF_US_PER_MS &&
+	    take_repeat(call, now_us);
 }
 
 static void
@@ -745,7 +747,7 @@
 	bf_mesh_route_t *route;
 	bf_entry_call_t *call;
 	const bf_job_t *maker;
-	bf_budget_t *budget;
+	bf_repeats_t *repeats;
 
 	if (mesh->routing == NULL) {
 		answer_own(mesh, request, 503, BF_CAUSE_NO_CONFIG, now_us);
@@ -788,11 +790,11 @@
 	call->timeout.fire = on_timeout;
 	bf_loop_timer(mesh->loop, &call->timeout, call->deadline_us + LATE_US);
 	write_head(call);
-	budget = budget_of(mesh, call->service);
-	if (budget != NULL && call->of_repeat)
-		bf_budget_charge(budget);
-	else if (budget != NULL)
-		bf_budget_earn(budget);
+	repeats = repeats_of(mesh, call->service);
+	if (repeats != NULL && call->of_repeat)
+		bf_repeats_charge(repeats, now_us);
+	else if (repeats != NULL)
+		bf_repeats_count_call(repeats, now_us);
 	place(call, now_us);
 }
 
@@ -804,10 +806,15 @@
 	bf_entry_call_t *call = request->user;
 
 	bf_metric_count(mesh->metrics.calls, "abandoned", 1);
-	if (bf_events_sampled(mesh->events, call->request_id))
+	/* A target gives a call up only when the one that needs it fails. */
+	if (call->inner || bf_events_sampled(mesh->events, call->request_id))
 		bf_event(mesh->events, BF_EVENT_CANCELLED, now_us,
-		    "s:s,s:s,s:I", "call", call->request_id, "at", "entry",
-		    "after_us", (json_int_t)(now_us - call->began_us));
+		    "s:s,s:s,s:I,s:s,s:b,s:i,s:s", "call", call->request_id,
+		    "at", "entry", "after_us",
+		    (json_int_t)(now_us - call->began_us), "route",
+		    call->route->name, "inner", (int)call->inner, "offers",
+		    (int)call->offers, "peer",
+		    call->peer != NULL ? call->peer->instance : "");
 	cancel_offer(call, now_us);
 	free_call(call);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -9,9 +9,9 @@
 #include "mesh/link.h"
 #include "mesh/mesh.h"
 #include "mesh/placing.h"
+#include "mesh/repeats.h"
 #include "mesh/throttle.h"
 #include "mesh/waiting.h"
-#include "route/budget.h"
 #include "store/follow.h"
 
 /* What the parts of mesh/ share. */
@@ -223,7 +223,7 @@
 /* Repeats of calls to a service. */
 typedef struct bf_service_budget {
 	char service[BF_NAME_BYTES];
-	bf_budget_t budget;
+	bf_repeats_t repeats;
 } bf_service_budget_t;
 
 /* A version of a service's software that some target runs. */
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -33,6 +33,7 @@
 	uint32_t stop_ms;           /* from the signal to a forced end */
 	uint32_t retry_share_ppm;   /* repeats to calls, of the whole mesh */
 	uint32_t retry_burst;       /* repeats beyond that, of the whole mesh */
+	uint32_t retry_window_ms;   /* in which repeats are counted */
 	uint32_t connections_max;   /* of callers */
 	uint32_t link_mbps;         /* of the instance; 0: not known */
 	bool first_start;           /* the whole mesh starts the first time */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -81,6 +81,7 @@
 static const bf_field_t repeat_fields[] = {
 	{ .key = "share", .kind = BF_FIELD_OTHER }, /* a fraction */
 	NUMBER("burst", AT(repeats.burst), 0, CONNECTIONS_MAX),
+	{ .key = "window_s", .kind = BF_FIELD_OTHER }, /* a fraction */
 };
 
 static const bf_field_t metric_fields[] = {
@@ -155,7 +156,9 @@
 		.callers = { .connections_max = 0 },
 		.target = { .heartbeat_ms = 1500 },
 		.stop = { .grace_ms = 6000 },
-		.repeats = { .share_ppm = 100000, .burst = 10 },
+		.repeats = { .share_ppm = 100000,
+		    .burst = 10,
+		    .window_ms = 10000 },
 		.log = { .sample_one_in = 200 },
 	};
 	code = bf_toml_parse_file(path, pool, &root, problems);
@@ -178,6 +181,8 @@
 	}
 	read_fraction(root, "repeats", "share", SHARE_MAX, PPM,
 	    &settings->repeats.share_ppm, problems);
+	read_fraction(root, "repeats", "window_s", GRACE_S_MAX, MS_PER_S,
+	    &settings->repeats.window_ms, problems);
 	read_fraction(root, "node", "link_mbps", MBPS_MAX, 1,
 	    &settings->node.link_mbps, problems);
 	read_fraction(root, "stop", "grace_s", GRACE_S_MAX, MS_PER_S,
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -42,6 +42,7 @@
 	struct {
 		uint32_t share_ppm; /* repeats to calls, of the whole mesh */
 		uint32_t burst;     /* repeats beyond that */
+		uint32_t window_ms; /* in each span of this length */
 	} repeats;
 	struct {
 		const char *listen; /* NULL: not served */
--- a/tests/mesh_bed.c
+++ b/tests/mesh_bed.c
@@ -609,6 +609,7 @@
 		.stop_ms = 6000,
 		.retry_share_ppm = 1000000,
 		.retry_burst = 1000,
+		.retry_window_ms = 10000,
 	};
 	bed->nodes[node] = bf_mesh_new(options, &dialect, bed->loop,
 	    &bed->store.kv, NULL, bed->metrics, NULL);
--- /dev/null
+++ b/tests/test_repeats.c
@@ -0,0 +1,99 @@
+#include <glib.h>
+
+#include "mesh/repeats.h"
+
+/* The budget of repeats: of use when calls are lost at once, and never over
+ * its share in any window. */
+
+#define WINDOW_US (10 * BF_US_PER_S)
+#define SHARE 0.14
+#define CALL_US (65 * BF_US_PER_MS) /* 15 calls a second */
+
+/* The load of one node of 85: quiet, then 15 calls are lost within 0.1 s. */
+static void
+test_lost_at_once(void)
+{
+	bf_repeats_t repeats;
+	bf_time_us_t now_us = BF_US_PER_S;
+	int granted = 0, i;
+
+	bf_repeats_init(&repeats, WINDOW_US);
+	for (i = 0; i < 300; i++, now_us += CALL_US)
+		bf_repeats_count_call(&repeats, now_us);
+	for (i = 0; i < 15; i++, now_us += 6 * BF_US_PER_MS)
+		granted += bf_repeats_take(&repeats, SHARE, 1, now_us) ? 1 : 0;
+	g_assert_cmpint(granted, ==, 15);
+	/* And not without end. */
+	for (i = 0; i < 100; i++)
+		granted += bf_repeats_take(&repeats, SHARE, 1, now_us) ? 1 : 0;
+	g_assert_cmpint(granted, <=, (int)(SHARE * 155) + 1);
+}
+
+/* Calls that come in bursts of all lengths, each of which fails: in any
+ * window, no more repeats than a fifth of the most calls of any window that
+ * ends within it, and the extra. */
+static void
+test_any_window(void)
+{
+	enum {
+		STEPS = 6000,
+		STEP_MS = 10,
+		WINDOW = 1000
+	};
+	static uint32_t calls[STEPS], made[STEPS];
+	GRand *random = g_rand_new_with_seed(3);
+	uint32_t i, j, w, most, sum, rate = 1;
+	bf_repeats_t repeats;
+	bf_time_us_t now_us;
+
+	bf_repeats_init(&repeats, WINDOW_US);
+	for (i = 0; i < STEPS; i++) {
+		now_us = BF_US_PER_S + (bf_time_us_t)i * STEP_MS * BF_US_PER_MS;
+		if (g_rand_int_range(random, 0, 300) == 0)
+			rate = (uint32_t)g_rand_int_range(random, 0, 5);
+		for (j = 0; j < rate; j++, calls[i]++)
+			bf_repeats_count_call(&repeats, now_us);
+		for (j = 0; j < 3; j++)
+			made[i] +=
+			    bf_repeats_take(&repeats, SHARE, 2, now_us) ? 1 : 0;
+	}
+	for (i = 2 * WINDOW; i < STEPS; i += 7) {
+		for (j = i - WINDOW, sum = 0; j < i; j++)
+			sum += made[j];
+		for (w = 0, most = 0; w <= WINDOW; w += WINDOW / 2) {
+			uint32_t in_window = 0;
+
+			for (j = i - w - WINDOW; j < i - w; j++)
+				in_window += calls[j];
+			most = in_window > most ? in_window : most;
+		}
+		g_assert_cmpfloat(sum, <=, 0.2 * most + 2);
+	}
+	g_rand_free(random);
+}
+
+/* After a long pause nothing of before counts. */
+static void
+test_forgets(void)
+{
+	bf_repeats_t repeats;
+	int i;
+
+	bf_repeats_init(&repeats, WINDOW_US);
+	for (i = 0; i < 100; i++)
+		bf_repeats_count_call(&repeats, BF_US_PER_S);
+	bf_repeats_charge(&repeats, BF_US_PER_S);
+	g_assert_true(bf_repeats_take(&repeats, SHARE, 0, BF_US_PER_S));
+	g_assert_false(bf_repeats_take(&repeats, SHARE, 0.5, 30 * BF_US_PER_S));
+	g_assert_true(bf_repeats_take(&repeats, SHARE, 1, 30 * BF_US_PER_S));
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/repeats/lost-at-once", test_lost_at_once);
+	g_test_add_func("/repeats/any-window", test_any_window);
+	g_test_add_func("/repeats/forgets", test_forgets);
+	return g_test_run();
+}
