Place calls by the delay of the path as well

Ruled out: the queue beside the target (refused after 0.1 s); slow targets. Change: an entry keeps a moving average of the time that calls to a node are under way beyond their time there, and adds it in placing. Test: test_placing.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -63,6 +63,7 @@
 	bf_peer_t *tried[BF_OFFERS_MAX];
 	bf_peer_t *peer; /* that has the offer; NULL: none */
 	uint64_t offer;
+	bf_time_us_t offered_us;
 	bf_cause_t cause;     /* of the last offer that failed */
 	bf_time_us_t room_us; /* least expected time to room */
 	bf_bytes_t head;
@@ -287,6 +288,19 @@
 	return (strcmp(version, wanted) == 0) == (which > 0);
 }
 
+/* There and back: by the zone at least, and as long as it took of late. */
+static uint32_t
+distance_us(const bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_time_us_t least_us = peer->near ? NEAR_US : FAR_US;
+	bf_time_us_t lately_us;
+
+	if (peer->self)
+		return 0;
+	lately_us = bf_path_delay_now(&peer->delay, now_us);
+	return (uint32_t)(lately_us > least_us ? lately_us : least_us);
+}
+
 /* The places that a call may be offered to. */
 static size_t
 list_places(bf_entry_call_t *call, const char *version, int which,
@@ -322,9 +336,7 @@
 			.sent = peer->self ? 0 : peer->sent,
 			.mean_us = state->load.mean_us,
 			.failing_ppm = state->load.failing_ppm,
-			.distance_us = peer->self ? 0
-			    : peer->near          ? NEAR_US
-						  : FAR_US,
+			.distance_us = distance_us(peer, now_us),
 			.near = peer->near,
 			.doubtful = peer->silent,
 		};
@@ -391,6 +403,7 @@
 	offer.id = call->offer;
 	call->tried[call->offers++] = peer;
 	call->peer = peer;
+	call->offered_us = now_us;
 	peer->outstanding++;
 	apr_hash_set(mesh->calls, &call->offer, sizeof(call->offer), call);
 	if (bf_events_sampled(mesh->events, call->request_id))
@@ -592,6 +605,10 @@
 	call = apr_hash_get(mesh->calls, &offer, sizeof(offer));
 	if (call == NULL)
 		return; /* given up meanwhile */
+	if (!call->peer->self)
+		bf_path_delay_count(&call->peer->delay,
+		    now_us - call->offered_us,
+		    reply->waited_us + reply->spent_us, now_us);
 	end_offer(call);
 	switch (reply->end) {
 	case BF_END_ANSWERED:
--- a/mesh/placing.c
+++ b/mesh/placing.c
@@ -1,5 +1,12 @@
+#include <math.h>
+
 #include "mesh/placing.h"
 
+/* Weight of the newest call in the delay of a path. */
+#define DELAY_WEIGHT 0.3
+/* A queue of a thin link passes in about this time once less is sent. */
+#define DELAY_HALF_US (500.0 * BF_US_PER_MS)
+
 /*
  * A failing target looks this much slower for each part of calls that fail:
  * a failed call has to be made again, which takes another place's time.
@@ -31,6 +38,28 @@
 	return place->running + place->waiting + place->sent;
 }
 
+bf_time_us_t
+bf_path_delay_now(const bf_path_delay_t *delay, bf_time_us_t now_us)
+{
+	double age_us = (double)(now_us - delay->at_us);
+
+	return (bf_time_us_t)(age_us > 0
+		? delay->us * exp2(-age_us / DELAY_HALF_US)
+		: delay->us);
+}
+
+void
+bf_path_delay_count(bf_path_delay_t *delay, bf_time_us_t took_us,
+    bf_time_us_t spent_us, bf_time_us_t now_us)
+{
+	double sample_us =
+	    took_us > spent_us ? (double)(took_us - spent_us) : 0;
+
+	delay->us = (double)bf_path_delay_now(delay, now_us);
+	delay->us += DELAY_WEIGHT * (sample_us - delay->us);
+	delay->at_us = now_us;
+}
+
 bf_time_us_t
 bf_place_expected_us(const bf_place_t *place)
 {
--- a/mesh/placing.h
+++ b/mesh/placing.h
@@ -34,6 +34,26 @@
 
 #define BF_PLACE_NONE SIZE_MAX
 
+/*
+ * How long calls and their answers are under way to a node, over the time that
+ * they are there.
+ *
+ * Answers the load pattern "a thin link that is full of long bodies": the
+ * target behind it looks idle, since calls reach it late or never.
+ */
+typedef struct bf_path_delay {
+	double us; /* moving average, at at_us */
+	bf_time_us_t at_us;
+} bf_path_delay_t;
+
+/* A call took took_us in all, of which spent_us beside its target. */
+void bf_path_delay_count(bf_path_delay_t *delay, bf_time_us_t took_us,
+    bf_time_us_t spent_us, bf_time_us_t now_us);
+
+/* What is expected now: without calls a full link is forgotten. */
+bf_time_us_t bf_path_delay_now(
+    const bf_path_delay_t *delay, bf_time_us_t now_us);
+
 /* Expected time from now to the answer of a call that is sent now. */
 bf_time_us_t bf_place_expected_us(const bf_place_t *place);
 
--- /dev/null
+++ b/tests/test_placing.c
@@ -0,0 +1,82 @@
+#include <glib.h>
+
+#include "mesh/placing.h"
+
+/* Choosing a place when the link to one of two is full. */
+
+#define CALLS 1000
+
+static const bf_near_t near_first = { .end_us = 150000, .longer_us = 100000 };
+
+/* Calls, of CALLS, that go to the first of two places alike but for delay. */
+static uint32_t
+share_of_first(bf_time_us_t delay_us)
+{
+	uint64_t random = 7;
+	uint32_t count = 0, i;
+	bf_place_t places[2] = {
+		{ .slots = 6,
+		    .running = 1,
+		    .mean_us = 37000,
+		    .distance_us = (uint32_t)delay_us,
+		    .near = true },
+		{ .slots = 6,
+		    .running = 5,
+		    .mean_us = 37000,
+		    .distance_us = 400,
+		    .near = true },
+	};
+
+	for (i = 0; i < CALLS; i++)
+		count += bf_place_choose(places, 2, &near_first, &random) == 0
+		    ? 1
+		    : 0;
+	return count;
+}
+
+/*
+ * Uploads fill the link to an idle target: calls there took 380 ms, nearly all
+ * of it under way.  Others go elsewhere until it has passed.
+ */
+static void
+test_full_link(void)
+{
+	bf_time_us_t now_us = BF_US_PER_S;
+	bf_path_delay_t delay = { 0 };
+	int i;
+
+	for (i = 0; i < 6; i++, now_us += 20 * BF_US_PER_MS)
+		bf_path_delay_count(
+		    &delay, 380 * BF_US_PER_MS, 40 * BF_US_PER_MS, now_us);
+	g_assert_cmpint(
+	    bf_path_delay_now(&delay, now_us), >, 200 * BF_US_PER_MS);
+	g_assert_cmpuint(
+	    share_of_first(bf_path_delay_now(&delay, now_us)), ==, 0);
+	now_us += 5 * BF_US_PER_S;
+	g_assert_cmpint(bf_path_delay_now(&delay, now_us), <, BF_US_PER_MS);
+	g_assert_cmpuint(
+	    share_of_first(bf_path_delay_now(&delay, now_us)), ==, CALLS);
+}
+
+/* Calls that take long at the target tell nothing of the link. */
+static void
+test_long_calls(void)
+{
+	bf_path_delay_t delay = { 0 };
+	int i;
+
+	for (i = 1; i < 10; i++)
+		bf_path_delay_count(&delay, 900 * BF_US_PER_MS,
+		    899 * BF_US_PER_MS, i * BF_US_PER_S);
+	g_assert_cmpint(
+	    bf_path_delay_now(&delay, 10 * BF_US_PER_S), <=, BF_US_PER_MS);
+}
+
+int
+main(int argc, char **argv)
+{
+	g_test_init(&argc, &argv, NULL);
+	g_test_add_func("/placing/full-link", test_full_link);
+	g_test_add_func("/placing/long-calls", test_long_calls);
+	return g_test_run();
+}
