--- a/Makefile
+++ b/Makefile
@@ -55,6 +55,12 @@
 replay: build
 	$(BUILD)/bin/replay tests/traces/load/*.pattern
 
+# Real processes in random faults: SEEDS seeds from FIRST on.
+FIRST ?= 1
+SEEDS ?= 50
+soak: build
+	tools/soak.sh $(BUILD) $(FIRST) $$(($(FIRST) + $(SEEDS) - 1))
+
 # Breaks the mechanism of each promise and expects its test to fail.
 mutate:
 	tools/mutate.sh
@@ -67,4 +73,4 @@
 	rm -rf build build-asan build-tsan build-fuzz
 
 .PHONY: all configure build deps check format lint asan tsan fuzz demo bench \
-	replay mutate clean
+	replay soak mutate clean
