--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -32,6 +32,7 @@
  * they fall from a peak.
  */
 #define BUDGET_PART 0.7
+#define PPM 1000000.0
 /*
  * A call stays in its zone while it is expected to end there within the first
  * part of its objective and no longer than the second part later than
@@ -256,7 +257,7 @@
 {
 	const bf_mesh_t *mesh = call->mesh;
 	bf_repeats_t *repeats = repeats_of(call->mesh, call->service);
-	double share = BUDGET_PART * mesh->options.retry_share_ppm / 1e6;
+	double share = BUDGET_PART * mesh->options.retry_share_ppm / PPM;
 	double extra =
 	    BUDGET_PART * mesh->options.retry_burst / mesh->peer_count;
 	bool granted;
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -349,9 +349,33 @@
     const char *zone, const char *address, uint64_t incarnation,
     bf_time_us_t now_us);
 void bf_roster_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
-/* Tells the state to all peers, at once. */
-void bf_roster_tell(bf_mesh_t *mesh, bf_time_us_t now_us);
+
+/* mesh/state.c: what nodes tell each other of themselves. */
+/* How often nodes tell each other something, and what silence means. */
+typedef struct bf_cadence {
+	bf_time_us_t tell_us;   /* at least this often: silence is a sign */
+	bf_time_us_t silent_us; /* used only for want of others from then on */
+	/* Given up: a new connection may work where an old one does not. */
+	bf_time_us_t lost_us;
+} bf_cadence_t;
+
+extern const bf_cadence_t bf_cadence_near; /* in a zone */
+extern const bf_cadence_t bf_cadence_far;
+
+/* Of this node. */
 bf_node_state_t bf_mesh_state(bf_mesh_t *mesh, bf_time_us_t now_us);
+void bf_node_state_read(bf_wire_reader_t *reader, bf_node_state_t *state);
+/* Whether both say the same, but for the load. */
+bool bf_node_state_same(const bf_node_state_t *a, const bf_node_state_t *b);
+void bf_tell_state(bf_mesh_t *mesh, bf_mesh_link_t *link,
+    const bf_node_state_t *state, bf_time_us_t now_us);
+void bf_tell_load(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_load_t *load,
+    bf_time_us_t now_us);
+/*
+ * Tells every node what has changed and concerns it, and something in any case
+ * at its cadence.
+ */
+void bf_tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us);
 
 /* mesh/registry.c: the own entry in the store, and the list of the others. */
 void bf_registry_start(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -159,7 +159,7 @@
 
 	if (!mesh->closing && now_us - mesh->stop_us >= STOP_OPEN_US) {
 		mesh->closing = true;
-		bf_roster_tell(mesh, now_us);
+		bf_tell_changes(mesh, now_us);
 	}
 	if (!is_drained(mesh, now_us)) {
 		bf_loop_timer(mesh->loop, timer, now_us + STOP_POLL_US);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -21,30 +21,6 @@
 #define PROBE_US (250 * BF_US_PER_MS)
 #define PROBE_SILENT_US (550 * BF_US_PER_MS)
 
-/* How often nodes tell each other something, and what silence means. */
-typedef struct bf_cadence {
-	bf_time_us_t tell_us;   /* at least this often: silence is a sign */
-	bf_time_us_t silent_us; /* used only for want of others from then on */
-	/* Given up: a new connection may work where an old one does not. */
-	bf_time_us_t lost_us;
-} bf_cadence_t;
-
-static const bf_cadence_t near_cadence = {
-	.tell_us = 250 * BF_US_PER_MS,
-	.silent_us = 700 * BF_US_PER_MS,
-	.lost_us = 1600 * BF_US_PER_MS,
-};
-
-/*
- * Between zones load is told at this pace only, changed or not: what each node
- * tells each other one grows with the square of their number, and the few
- * calls that leave a zone bring fresh load back with their answers.
- */
-static const bf_cadence_t far_cadence = {
-	.tell_us = BF_US_PER_S,
-	.silent_us = 2200 * BF_US_PER_MS,
-	.lost_us = 3300 * BF_US_PER_MS,
-};
 #define DIAL_US BF_US_PER_S
 /* A peer that neither the store lists nor answers is forgotten after this. */
 #define FORGET_US (5 * BF_US_PER_S)
@@ -79,176 +55,6 @@
 	return NULL;
 }
 
-void
-bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load)
-{
-	bf_wire_write_uint(writer, load->running);
-	bf_wire_write_uint(writer, load->waiting);
-	bf_wire_write_uint(writer, load->slots);
-	bf_wire_write_uint(writer, load->mean_us);
-	bf_wire_write_uint(writer, load->failing_ppm);
-}
-
-void
-bf_wire_read_load(bf_wire_reader_t *reader, bf_load_t *load)
-{
-	load->running = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-	load->waiting = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-	load->slots = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-	load->mean_us = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-	load->failing_ppm = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-}
-
-bf_node_state_t
-bf_mesh_state(bf_mesh_t *mesh, bf_time_us_t now_us)
-{
-	const bf_own_target_t *target = &mesh->target;
-	bf_node_state_t state = {
-		.target_state = target->state,
-		.incarnation = mesh->incarnation,
-		.stopping = mesh->closing,
-		.store_up = mesh->store_up,
-		.relay = mesh->relay,
-		.link_mbps = mesh->options.link_mbps,
-		.config_version = mesh->routing != NULL
-		    ? bf_routing_version(mesh->routing)
-		    : 0,
-		.load = bf_target_load(mesh, now_us),
-	};
-
-	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
-	memcpy(state.target, target->beat.id, sizeof(state.target));
-	memcpy(state.service, target->beat.service, sizeof(state.service));
-	memcpy(state.version, target->beat.version, sizeof(state.version));
-	return state;
-}
-
-static void
-write_state(bf_wire_writer_t *writer, const bf_node_state_t *state)
-{
-	bf_wire_write_text(writer, state->instance);
-	bf_wire_write_uint(writer, state->incarnation);
-	bf_wire_write_text(writer, state->target);
-	bf_wire_write_text(writer, state->service);
-	bf_wire_write_text(writer, state->version);
-	bf_wire_write_uint(writer, state->target_state);
-	bf_wire_write_uint(writer, state->stopping);
-	bf_wire_write_uint(writer, state->store_up);
-	bf_wire_write_uint(writer, state->relay);
-	bf_wire_write_uint(writer, state->link_mbps);
-	bf_wire_write_uint(writer, state->config_version);
-	bf_wire_write_load(writer, &state->load);
-}
-
-static void
-read_state(bf_wire_reader_t *reader, bf_node_state_t *state)
-{
-	bf_wire_read_text(reader, state->instance, sizeof(state->instance));
-	state->incarnation = bf_wire_read_uint(reader, UINT64_MAX);
-	bf_wire_read_text(reader, state->target, sizeof(state->target));
-	bf_wire_read_text(reader, state->service, sizeof(state->service));
-	bf_wire_read_text(reader, state->version, sizeof(state->version));
-	state->target_state =
-	    (bf_target_state_t)bf_wire_read_uint(reader, BF_TARGET_DRAINING);
-	state->stopping = bf_wire_read_uint(reader, 1) != 0;
-	state->store_up = bf_wire_read_uint(reader, 1) != 0;
-	state->relay = bf_wire_read_uint(reader, 1) != 0;
-	state->link_mbps = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
-	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
-	bf_wire_read_load(reader, &state->load);
-}
-
-static void
-tell_state(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_node_state_t *state,
-    bf_time_us_t now_us)
-{
-	write_state(&mesh->writer, state);
-	bf_mesh_link_send(link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
-}
-
-/* Whether both say the same of the target, and of calls to it. */
-static bool
-same_target(const bf_node_state_t *a, const bf_node_state_t *b)
-{
-	return strcmp(a->target, b->target) == 0 &&
-	    strcmp(a->service, b->service) == 0 &&
-	    strcmp(a->version, b->version) == 0 &&
-	    a->target_state == b->target_state && a->stopping == b->stopping;
-}
-
-static bool
-same_identity(const bf_node_state_t *a, const bf_node_state_t *b)
-{
-	return same_target(a, b) && a->store_up == b->store_up &&
-	    a->relay == b->relay && a->config_version == b->config_version;
-}
-
-static bool
-same_load(const bf_load_t *a, const bf_load_t *b)
-{
-	return a->running == b->running && a->waiting == b->waiting &&
-	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
-}
-
-static void
-tell_load(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_load_t *load,
-    bf_time_us_t now_us)
-{
-	bf_wire_write_load(&mesh->writer, load);
-	bf_mesh_link_send(link, BF_FRAME_LOAD, 0, &mesh->writer, NULL, now_us);
-}
-
-/* Tells the nodes of the own zone, or those of all others. */
-static void
-tell_zone(bf_mesh_t *mesh, bool near, const bf_node_state_t *state, bool whole,
-    bf_time_us_t now_us)
-{
-	bf_inbound_t *inbound;
-
-	for (inbound = mesh->inbound; inbound != NULL;
-	     inbound = inbound->next) {
-		if (inbound->peer == NULL || inbound->peer->near != near)
-			continue;
-		if (whole)
-			tell_state(mesh, &inbound->link, state, now_us);
-		else
-			tell_load(mesh, &inbound->link, &state->load, now_us);
-	}
-}
-
-/* Tells what changed, and something in any case at each zone's cadence. */
-static void
-tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
-{
-	bf_node_state_t state = bf_mesh_state(mesh, now_us);
-	bool changed;
-
-	changed = !same_identity(&state, &mesh->told);
-	if (changed || now_us - mesh->told_us >= near_cadence.tell_us ||
-	    !same_load(&state.load, &mesh->told.load)) {
-		tell_zone(mesh, true, &state, changed, now_us);
-		mesh->told = state;
-		mesh->told_us = now_us;
-	}
-	/* Relays tell of a new configuration, as their zone may hear of none.
-	 */
-	if (!same_target(&state, &mesh->told_far) ||
-	    (state.relay &&
-		state.config_version != mesh->told_far.config_version) ||
-	    now_us - mesh->told_far_us >= far_cadence.tell_us) {
-		tell_zone(mesh, false, &state,
-		    !same_identity(&state, &mesh->told_far), now_us);
-		mesh->told_far = state;
-		mesh->told_far_us = now_us;
-	}
-}
-
-void
-bf_roster_tell(bf_mesh_t *mesh, bf_time_us_t now_us)
-{
-	tell_changes(mesh, now_us);
-}
-
 static void
 take_load(bf_peer_t *peer, const bf_load_t *load)
 {
@@ -311,7 +117,7 @@
 static void
 take_state(bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
 {
-	bool changed = !peer->heard || !same_identity(&peer->state, state);
+	bool changed = !peer->heard || !bf_node_state_same(&peer->state, state);
 
 	peer->state = *state;
 	peer->sent = 0;
@@ -387,7 +193,7 @@
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_STATE:
-		read_state(&reader, &state);
+		bf_node_state_read(&reader, &state);
 		if (reader.code != BF_OK)
 			break;
 		if (strcmp(state.instance, peer->instance) == 0)
@@ -646,7 +452,7 @@
 	peer->inbound = inbound;
 	peer->missing_us = 0;
 	state = bf_mesh_state(mesh, now_us);
-	tell_state(mesh, &inbound->link, &state, now_us);
+	bf_tell_state(mesh, &inbound->link, &state, now_us);
 	bf_movement_tell(mesh, &inbound->link, now_us);
 }
 
@@ -727,7 +533,7 @@
 	switch (frame->kind) {
 	case BF_FRAME_PROBE:
 		load = bf_target_load(mesh, now_us);
-		tell_load(mesh, link, &load, now_us);
+		bf_tell_load(mesh, link, &load, now_us);
 		break;
 	case BF_FRAME_HELLO:
 		take_hello(inbound, &reader, now_us);
@@ -803,7 +609,8 @@
 static void
 check_silence(bf_peer_t *peer, bf_time_us_t now_us)
 {
-	const bf_cadence_t *cadence = peer->near ? &near_cadence : &far_cadence;
+	const bf_cadence_t *cadence =
+	    peer->near ? &bf_cadence_near : &bf_cadence_far;
 	bf_time_us_t silent_us;
 
 	if (peer->link == NULL)
@@ -859,7 +666,7 @@
 	bf_target_tick(mesh, now_us);
 	bf_source_tick(mesh, now_us);
 	bf_movement_tick(mesh, now_us);
-	tell_changes(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 	pause_us = near_count * TICK_PEER_US;
 	bf_loop_timer(mesh->loop, timer,
 	    now_us + (pause_us > TICK_US ? pause_us : TICK_US));
--- a/mesh/source.c
+++ b/mesh/source.c
@@ -91,7 +91,9 @@
 	    peer->link, BF_FRAME_CONFIG_GET, 0, &mesh->writer, NULL, now_us);
 }
 
-/* Sends what the other side needs, which holds a configuration of that digest.
+/*
+ * Sends the configuration; held: the digest of the one that the other side has,
+ * from which a difference will do.
  */
 static void
 send_config(bf_mesh_t *mesh, bf_mesh_link_t *link, bf_digest_t held,
@@ -215,7 +217,7 @@
 	    (json_int_t)bf_routing_route_count(routing));
 	if (mesh->relay)
 		send_to_zone(mesh, now_us);
-	bf_roster_tell(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 }
 
 static void
--- /dev/null
+++ b/mesh/state.c
@@ -0,0 +1,189 @@
+#include <string.h>
+
+#include "mesh/internal.h"
+
+/*
+ * What a node says of itself and its target, and how often it tells whom.
+ */
+
+const bf_cadence_t bf_cadence_near = {
+	.tell_us = 250 * BF_US_PER_MS,
+	.silent_us = 700 * BF_US_PER_MS,
+	.lost_us = 1600 * BF_US_PER_MS,
+};
+
+/*
+ * Between zones load is told at this pace only, changed or not: what each node
+ * tells each other one grows with the square of their number, and the few
+ * calls that leave a zone bring fresh load back with their answers.
+ */
+const bf_cadence_t bf_cadence_far = {
+	.tell_us = BF_US_PER_S,
+	.silent_us = 2200 * BF_US_PER_MS,
+	.lost_us = 3300 * BF_US_PER_MS,
+};
+
+void
+bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load)
+{
+	bf_wire_write_uint(writer, load->running);
+	bf_wire_write_uint(writer, load->waiting);
+	bf_wire_write_uint(writer, load->slots);
+	bf_wire_write_uint(writer, load->mean_us);
+	bf_wire_write_uint(writer, load->failing_ppm);
+}
+
+void
+bf_wire_read_load(bf_wire_reader_t *reader, bf_load_t *load)
+{
+	load->running = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->waiting = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->slots = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->mean_us = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	load->failing_ppm = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+}
+
+bf_node_state_t
+bf_mesh_state(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_own_target_t *target = &mesh->target;
+	bf_node_state_t state = {
+		.target_state = target->state,
+		.incarnation = mesh->incarnation,
+		.stopping = mesh->closing,
+		.store_up = mesh->store_up,
+		.relay = mesh->relay,
+		.link_mbps = mesh->options.link_mbps,
+		.config_version = mesh->routing != NULL
+		    ? bf_routing_version(mesh->routing)
+		    : 0,
+		.load = bf_target_load(mesh, now_us),
+	};
+
+	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
+	memcpy(state.target, target->beat.id, sizeof(state.target));
+	memcpy(state.service, target->beat.service, sizeof(state.service));
+	memcpy(state.version, target->beat.version, sizeof(state.version));
+	return state;
+}
+
+static void
+write_state(bf_wire_writer_t *writer, const bf_node_state_t *state)
+{
+	bf_wire_write_text(writer, state->instance);
+	bf_wire_write_uint(writer, state->incarnation);
+	bf_wire_write_text(writer, state->target);
+	bf_wire_write_text(writer, state->service);
+	bf_wire_write_text(writer, state->version);
+	bf_wire_write_uint(writer, state->target_state);
+	bf_wire_write_uint(writer, state->stopping);
+	bf_wire_write_uint(writer, state->store_up);
+	bf_wire_write_uint(writer, state->relay);
+	bf_wire_write_uint(writer, state->link_mbps);
+	bf_wire_write_uint(writer, state->config_version);
+	bf_wire_write_load(writer, &state->load);
+}
+
+void
+bf_node_state_read(bf_wire_reader_t *reader, bf_node_state_t *state)
+{
+	bf_wire_read_text(reader, state->instance, sizeof(state->instance));
+	state->incarnation = bf_wire_read_uint(reader, UINT64_MAX);
+	bf_wire_read_text(reader, state->target, sizeof(state->target));
+	bf_wire_read_text(reader, state->service, sizeof(state->service));
+	bf_wire_read_text(reader, state->version, sizeof(state->version));
+	state->target_state =
+	    (bf_target_state_t)bf_wire_read_uint(reader, BF_TARGET_DRAINING);
+	state->stopping = bf_wire_read_uint(reader, 1) != 0;
+	state->store_up = bf_wire_read_uint(reader, 1) != 0;
+	state->relay = bf_wire_read_uint(reader, 1) != 0;
+	state->link_mbps = (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
+	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
+	bf_wire_read_load(reader, &state->load);
+}
+
+void
+bf_tell_state(bf_mesh_t *mesh, bf_mesh_link_t *link,
+    const bf_node_state_t *state, bf_time_us_t now_us)
+{
+	write_state(&mesh->writer, state);
+	bf_mesh_link_send(link, BF_FRAME_STATE, 0, &mesh->writer, NULL, now_us);
+}
+
+/* Whether both say the same of the target, and of calls to it. */
+static bool
+same_target(const bf_node_state_t *a, const bf_node_state_t *b)
+{
+	return strcmp(a->target, b->target) == 0 &&
+	    strcmp(a->service, b->service) == 0 &&
+	    strcmp(a->version, b->version) == 0 &&
+	    a->target_state == b->target_state && a->stopping == b->stopping;
+}
+
+bool
+bf_node_state_same(const bf_node_state_t *a, const bf_node_state_t *b)
+{
+	return same_target(a, b) && a->store_up == b->store_up &&
+	    a->relay == b->relay && a->config_version == b->config_version;
+}
+
+static bool
+same_load(const bf_load_t *a, const bf_load_t *b)
+{
+	return a->running == b->running && a->waiting == b->waiting &&
+	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
+}
+
+void
+bf_tell_load(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_load_t *load,
+    bf_time_us_t now_us)
+{
+	bf_wire_write_load(&mesh->writer, load);
+	bf_mesh_link_send(link, BF_FRAME_LOAD, 0, &mesh->writer, NULL, now_us);
+}
+
+/* Tells the nodes of the own zone, or those of all others. */
+static void
+tell_zone(bf_mesh_t *mesh, bool near, const bf_node_state_t *state, bool whole,
+    bf_time_us_t now_us)
+{
+	bf_inbound_t *inbound;
+
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		if (inbound->peer == NULL || inbound->peer->near != near)
+			continue;
+		if (whole)
+			bf_tell_state(mesh, &inbound->link, state, now_us);
+		else
+			bf_tell_load(
+			    mesh, &inbound->link, &state->load, now_us);
+	}
+}
+
+/* Tells what changed, and something in any case at each zone's cadence. */
+void
+bf_tell_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_node_state_t state = bf_mesh_state(mesh, now_us);
+	bool changed;
+
+	changed = !bf_node_state_same(&state, &mesh->told);
+	if (changed || now_us - mesh->told_us >= bf_cadence_near.tell_us ||
+	    !same_load(&state.load, &mesh->told.load)) {
+		tell_zone(mesh, true, &state, changed, now_us);
+		mesh->told = state;
+		mesh->told_us = now_us;
+	}
+	/* From relays other zones hear of what their own may be cut off from.
+	 */
+	if (!same_target(&state, &mesh->told_far) ||
+	    (state.relay &&
+		state.config_version != mesh->told_far.config_version) ||
+	    now_us - mesh->told_far_us >= bf_cadence_far.tell_us) {
+		tell_zone(mesh, false, &state,
+		    !bf_node_state_same(&state, &mesh->told_far), now_us);
+		mesh->told_far = state;
+		mesh->told_far_us = now_us;
+	}
+}
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -426,7 +426,7 @@
 		bf_waiting_leave(&target->waiting, waiter);
 		refuse((bf_job_t *)(void *)waiter, BF_CAUSE_NO_TARGET, now_us);
 	}
-	bf_roster_tell(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 }
 
 static void
@@ -690,7 +690,7 @@
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s,s:I", "target",
 	    target->beat.id, "change", "silent", "age_us",
 	    (json_int_t)(now_us - target->heard_us));
-	bf_roster_tell(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 }
 
 /* Whether a heartbeat is of a later lifetime, or later in the same one. */
@@ -802,7 +802,7 @@
 	    "version", beat->version, "slots", (int)beat->slots, "sequence",
 	    (json_int_t)beat->sequence, "born_ms", (json_int_t)beat->born_ms);
 	bf_registry_update(mesh, now_us);
-	bf_roster_tell(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 	return BF_OK;
 }
 
@@ -825,7 +825,7 @@
 		target->state = BF_TARGET_DRAINING;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target", id,
 	    "change", "leaves");
-	bf_roster_tell(mesh, now_us);
+	bf_tell_changes(mesh, now_us);
 }
 
 void
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -914,7 +914,7 @@
 	g_assert_cmpuint(told_bytes, <, text->len / 2);
 	/* n2 stops, and n4 follows the store in its place. */
 	bed->nodes[2]->closing = true;
-	bf_roster_tell(bed->nodes[2], bf_clock_monotonic_us());
+	bf_tell_changes(bed->nodes[2], bf_clock_monotonic_us());
 	bed_run(bed, 300 * BF_US_PER_MS);
 	g_assert_true(bed->nodes[4]->relay);
 	g_string_free(text, TRUE);
