Leave a call with a silent node when no other may take it

Change: silence takes a call away only if another target may have it: the route allows it, the budget has room, there is a place, and this node is not stopping. Test: mesh/silent-answers failed before (502, the answer came at 1.5 s).

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -641,6 +641,31 @@
 		    peer->link, BF_FRAME_CANCEL, offer, NULL, NULL, now_us);
 }
 
+/*
+ * Takes a call away from a node that says nothing, if another may have it.
+ * Else it stays: its answer may still come, and an end would not help.
+ */
+static void
+move_from_silent(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	static bf_place_t places[PLACES_MAX];
+	static bf_peer_t *peers[PLACES_MAX];
+
+	if (!bf_route_repeatable(call->route) || call->mesh->stopping ||
+	    call->sends + 1 >= call->route->attempts ||
+	    call->busy == BUSY_OFFERS_MAX ||
+	    find_places(call, places, peers, now_us) == 0 ||
+	    !may_repeat(call, now_us))
+		return;
+	cancel_offer(call, now_us);
+	call->cause = BF_CAUSE_PEER_LOST;
+	call->sends++;
+	call->may_have_run = true;
+	bf_metric_count(
+	    call->mesh->metrics.offers, bf_cause_name(BF_CAUSE_PEER_LOST), 1);
+	place(call, now_us);
+}
+
 void
 bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us)
 {
@@ -658,13 +683,15 @@
 	for (at = apr_hash_first(pool, mesh->calls); at != NULL;
 	     at = apr_hash_next(at)) {
 		call = apr_hash_this_val(at);
-		/* A silent node may still answer what must not run twice. */
-		if (call->peer == peer &&
-		    (gone || bf_route_repeatable(call->route)))
+		if (call->peer == peer)
 			APR_ARRAY_PUSH(lost, bf_entry_call_t *) = call;
 	}
 	for (i = 0; i < lost->nelts; i++) {
 		call = APR_ARRAY_IDX(lost, i, bf_entry_call_t *);
+		if (!gone) {
+			move_from_silent(call, now_us);
+			continue;
+		}
 		cancel_offer(call, now_us);
 		take_unknown(call, BF_CAUSE_PEER_LOST, now_us);
 	}
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -998,6 +998,26 @@
 	bed_free(bed);
 }
 
+/* A call that no other target may take is left with a node that is silent. */
+static void
+test_silent_answers(void)
+{
+	mesh_bed_t *bed = bed_new(2);
+	bed_call_t call;
+
+	bed_configure(bed, "5\n/read/ safe shop 3000 2000 1 2\n");
+	g_assert_cmpint(bed_heartbeat(bed, 0, "v1", true), ==, BF_OK);
+	bed->targets[1].delay_us = 1500 * BF_US_PER_MS;
+	bed_run(bed, SETTLE_US);
+	bed_send(bed, &call, 0, "GET", "/read/x", "s1", 3000, 0);
+	bed_run(bed, 100 * BF_US_PER_MS);
+	cut_off(bed, 1, 0);
+	g_assert_true(bed_await(bed, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 200);
+	bed_free(bed);
+}
+
 /* Where all start anew together, each reads the store without delay. */
 static void
 test_herd_start(void)
@@ -1101,6 +1121,7 @@
 	g_test_add_func("/mesh/relays", test_relays);
 	g_test_add_func("/mesh/orders-by-relays", test_orders_by_relays);
 	g_test_add_func("/mesh/far-cut", test_far_cut);
+	g_test_add_func("/mesh/silent-answers", test_silent_answers);
 	g_test_add_func("/mesh/herd-start", test_herd_start);
 	g_test_add_func("/mesh/left-during-stop", test_left_during_stop);
 	g_test_add_func("/mesh/left-before-known", test_left_before_known);
