Measure how long calls are worked on after their callers have left

The log could not tell a full link from a busy process or a wrong reading of a frame's age: nothing was written of a late frame, a long send buffer, a long iteration of the event loop or a run that began after its caller had left.

Added: the events frame-late, stall and unclaimed, left_us and ran_us in the event cancelled (always written if the run began after its caller left), and the metrics bf_caller_left_microseconds (start, end), bf_frame_delay_microseconds by kind, bf_loop_microseconds and bf_unsent_bytes.

No decision reads any of these.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -634,6 +634,53 @@
 	    call, reply->status, reply->fields, reply->body, reply->body_bytes);
 }
 
+/* Keeps when the caller of an offer left, for a reply that is on its way. */
+static void
+remember_cancelled(
+    const bf_entry_call_t *call, uint64_t offer_id, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = call->mesh;
+	bf_cancelled_offer_t *entry;
+
+	entry = &mesh->cancelled_offers[mesh->cancelled_offers_next];
+	mesh->cancelled_offers_next =
+	    (mesh->cancelled_offers_next + 1) % BF_CANCELLED_OFFERS_MAX;
+	entry->offer_id = offer_id;
+	entry->cancelled_at_us = now_us;
+	memcpy(entry->request_id, call->request_id, sizeof(entry->request_id));
+}
+
+/* Measures the work on a call whose caller left before this reply came. */
+static void
+record_unclaimed(bf_mesh_t *mesh, uint64_t offer_id, const bf_reply_t *reply,
+    bf_time_us_t now_us)
+{
+	const bf_cancelled_offer_t *entry = NULL;
+	bf_time_us_t ended_us, started_us;
+	uint32_t i;
+
+	for (i = 0; i < BF_CANCELLED_OFFERS_MAX && entry == NULL; i++) {
+		if (mesh->cancelled_offers[i].offer_id == offer_id)
+			entry = &mesh->cancelled_offers[i];
+	}
+	if (entry == NULL || reply->result == BF_CALL_RESULT_NOT_RUN)
+		return;
+	/* Both relative to the caller's leaving. */
+	ended_us = now_us - reply->queueing_delay_us - entry->cancelled_at_us;
+	started_us = ended_us - reply->spent_us;
+	if (ended_us > 0)
+		bf_metric_observe(mesh->metrics.left, "end", ended_us);
+	if (started_us > 0)
+		bf_metric_observe(mesh->metrics.left, "start", started_us);
+	if (started_us > 0 ||
+	    bf_events_sampled(mesh->events, entry->request_id))
+		bf_event(mesh->events, BF_EVENT_UNCLAIMED, now_us,
+		    "s:s,s:I,s:I,s:I", "call", entry->request_id, "left_us",
+		    (json_int_t)(now_us - entry->cancelled_at_us), "waited_us",
+		    (json_int_t)reply->waited_us, "spent_us",
+		    (json_int_t)reply->spent_us);
+}
+
 void
 bf_entry_handle_reply(bf_mesh_t *mesh, uint64_t offer_id,
     const bf_reply_t *reply, bf_time_us_t now_us)
@@ -641,8 +688,10 @@
 	bf_entry_call_t *call;
 
 	call = apr_hash_get(mesh->offered_calls, &offer_id, sizeof(offer_id));
-	if (call == NULL)
-		return; /* the call has ended */
+	if (call == NULL) {
+		record_unclaimed(mesh, offer_id, reply, now_us);
+		return;
+	}
 	if (!call->peer->self)
 		bf_path_delay_record(&call->peer->path_delay,
 		    now_us - call->offered_us,
@@ -671,8 +720,9 @@
 	if (peer == NULL)
 		return;
 	clear_offer(call);
+	remember_cancelled(call, offer_id, now_us);
 	if (peer->self)
-		bf_target_cancel(mesh, NULL, offer_id, now_us);
+		bf_target_cancel(mesh, NULL, offer_id, now_us, now_us);
 	else if (peer->connected)
 		bf_mesh_link_send(
 		    peer->link, BF_FRAME_CANCEL, offer_id, NULL, NULL, now_us);
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -156,6 +156,8 @@
 	bf_time_us_t expected_wait_us;
 	/* The run failed and a call that it made was refused as busy. */
 	bool dependency_busy;
+	/* Transit time of its frame beyond the recent minimum; not sent. */
+	bf_time_us_t queueing_delay_us;
 } bf_reply_t;
 
 /* A call as its entry offers it to the node beside a target. */
@@ -187,6 +189,15 @@
 
 #define BF_ROUTE_LATENCIES_MAX 64
 
+/* An offer that was cancelled because its caller left. */
+typedef struct bf_cancelled_offer {
+	uint64_t offer_id; /* 0: none */
+	bf_time_us_t cancelled_at_us;
+	char request_id[BF_REQUEST_ID_BYTES];
+} bf_cancelled_offer_t;
+
+#define BF_CANCELLED_OFFERS_MAX 128
+
 /*
  * The target beside this node, as last announced by its heartbeats.  A lifetime
  * of a target is identified by its id and the start time of its process.
@@ -285,6 +296,10 @@
 	bf_metric_family_t *queue;       /* calls at the own target, by state */
 	bf_metric_family_t *connections; /* by side */
 	bf_metric_family_t *log_lines;   /* by result */
+	bf_metric_family_t *left;        /* time since a caller left */
+	bf_metric_family_t *frame_delay; /* by kind of frame */
+	bf_metric_family_t *iteration;   /* of the event loop */
+	bf_metric_family_t *unsent;      /* bytes queued for other nodes */
 } bf_mesh_metrics_t;
 
 struct bf_mesh {
@@ -349,6 +364,9 @@
 	/* Calls. */
 	apr_hash_t *offered_calls; /* that entered here, by id of the offer */
 	uint64_t last_offer_id;
+	/* A ring of the last offers cancelled, for late replies to them. */
+	bf_cancelled_offer_t cancelled_offers[BF_CANCELLED_OFFERS_MAX];
+	uint32_t cancelled_offers_next;
 	uint32_t entry_call_count; /* calls that entered here and are open */
 	bf_service_budget_t budgets[BF_SERVICES_MAX];
 	uint32_t budget_count;
@@ -507,8 +525,9 @@
 /* from: the connection that the offer came by; NULL: it entered here. */
 void bf_target_offer(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_offer_t *offer, bf_time_us_t now_us);
+/* left_us: when the caller left, as far as it is known. */
 void bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
-    bf_time_us_t now_us);
+    bf_time_us_t left_us, bf_time_us_t now_us);
 /* Cancels all calls that came by a connection, which has closed. */
 void bf_target_cancel_from(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -11,6 +11,18 @@
 /* Transit is compared with the fastest frame of the last 1 to 2 windows. */
 #define WINDOW_US BF_US_PER_S
 
+const char *
+bf_frame_kind_name(bf_frame_kind_t kind)
+{
+	static const char *const names[] = { "unknown", "hello", "state",
+		"load", "offer", "cancel", "reply", "config-get", "config",
+		"runs", "move", "probe" };
+
+	if ((size_t)kind >= sizeof(names) / sizeof(names[0]))
+		return names[0];
+	return names[kind];
+}
+
 static bf_mesh_link_t *
 link_of(bf_tcp_t *tcp)
 {
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -23,6 +23,9 @@
 	BF_FRAME_PROBE /* requests the load of the target at once */
 } bf_frame_kind_t;
 
+/* The name of a kind, for logs; "unknown" for one of a later version. */
+const char *bf_frame_kind_name(bf_frame_kind_t kind);
+
 typedef struct bf_frame {
 	bf_frame_kind_t kind;
 	uint64_t offer_id;   /* 0: it belongs to no offer */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -54,6 +54,34 @@
 	    "Open connections, of callers and to the target", "side");
 	m->log_lines = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_log_lines",
 	    "Lines of the event log", "result");
+	m->left = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_caller_left_microseconds",
+	    "Time from a caller's leaving until its call reached a target "
+	    "(start) or its run ended (end), if that was later",
+	    "until");
+	m->frame_delay = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_frame_delay_microseconds",
+	    "Transit time of received frames beyond the recent minimum",
+	    "kind");
+	m->iteration = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
+	    "bf_loop_microseconds",
+	    "Time of an iteration of the event loop, without its wait", NULL);
+	m->unsent = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_unsent_bytes",
+	    "Bytes that wait to be sent to other nodes", "figure");
+}
+
+/* An iteration of the event loop that takes longer is logged. */
+#define STALL_US (100 * BF_US_PER_MS)
+
+static void
+on_iteration(void *ctx, bf_time_us_t took_us, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = ctx;
+
+	bf_metric_observe(mesh->metrics.iteration, NULL, took_us);
+	if (took_us > STALL_US)
+		bf_event(mesh->events, BF_EVENT_STALL, now_us, "s:I", "took_us",
+		    (json_int_t)took_us);
 }
 
 bf_mesh_t *
@@ -105,6 +133,7 @@
 		return code;
 	bf_registry_start(mesh, now_us);
 	bf_config_source_start(mesh, now_us);
+	bf_loop_observe(mesh->loop, on_iteration, mesh);
 	return BF_OK;
 }
 
@@ -113,6 +142,7 @@
 {
 	if (mesh == NULL)
 		return;
+	bf_loop_observe(mesh->loop, NULL, NULL);
 	if (mesh->caller_server.loop != NULL)
 		bf_http_server_close(&mesh->caller_server);
 	bf_config_source_stop(mesh);
@@ -202,12 +232,26 @@
 bf_mesh_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	const bf_mesh_metrics_t *m = &mesh->metrics;
-	uint64_t open = 0, silent = 0, closed = 0;
+	uint64_t open = 0, silent = 0, closed = 0, unsent = 0, most_unsent = 0;
+	const bf_inbound_t *inbound;
 	const bf_peer_t *peer;
+	size_t bytes;
 
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		bytes = bf_tcp_unsent(&inbound->link.tcp);
+		unsent += bytes;
+		if (bytes > most_unsent)
+			most_unsent = bytes;
+	}
 	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
 		if (peer->self)
 			continue;
+		bytes =
+		    peer->link != NULL ? bf_tcp_unsent(&peer->link->tcp) : 0;
+		unsent += bytes;
+		if (bytes > most_unsent)
+			most_unsent = bytes;
 		if (!peer->connected)
 			closed++;
 		else if (peer->silent)
@@ -215,6 +259,8 @@
 		else
 			open++;
 	}
+	bf_metric_set(m->unsent, "all_connections", unsent);
+	bf_metric_set(m->unsent, "fullest_connection", most_unsent);
 	bf_metric_set(m->peers, "open", open);
 	bf_metric_set(m->peers, "silent", silent);
 	bf_metric_set(m->peers, "closed", closed);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -41,6 +41,8 @@
  * that reads the store itself has it by then.
  */
 #define CONFIG_RELAYS_ONLY_US BF_US_PER_S
+/* A received frame whose transit took this much longer than usual is logged. */
+#define FRAME_LATE_US (200 * BF_US_PER_MS)
 
 static void dial(bf_peer_t *peer, bf_time_us_t now_us);
 static void remove_peer(bf_peer_t *peer, bf_time_us_t now_us);
@@ -169,6 +171,7 @@
 	} else {
 		apply_load(peer, &load);
 	}
+	reply.queueing_delay_us = frame->queueing_delay_us;
 	reply.fields = fields;
 	reply.body = frame->body;
 	reply.body_bytes = frame->body_bytes;
@@ -190,6 +193,24 @@
 	bf_wire_write_text(writer, reply->fields != NULL ? reply->fields : "");
 }
 
+/* Counts the delay of a received frame, and logs a long one. */
+static void
+record_frame_delay(bf_mesh_t *mesh, const bf_peer_t *peer,
+    const bf_frame_t *frame, bf_time_us_t now_us)
+{
+	const char *kind = bf_frame_kind_name(frame->kind);
+
+	bf_metric_observe(
+	    mesh->metrics.frame_delay, kind, frame->queueing_delay_us);
+	if (frame->queueing_delay_us > FRAME_LATE_US)
+		bf_event(mesh->events, BF_EVENT_FRAME_LATE, now_us,
+		    "s:s,s:s,s:I,s:I,s:I", "peer",
+		    peer != NULL ? peer->instance : "", "kind", kind, "offer",
+		    (json_int_t)frame->offer_id, "bytes",
+		    (json_int_t)(frame->payload_bytes + frame->body_bytes),
+		    "delay_us", (json_int_t)frame->queueing_delay_us);
+}
+
 /* Handles a frame received on a connection that this node dialled. */
 static void
 on_peer_frame(
@@ -202,6 +223,7 @@
 
 	peer->silent = false;
 	peer->probe_sent_us = 0;
+	record_frame_delay(peer->mesh, peer, frame, now_us);
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_STATE:
@@ -547,6 +569,7 @@
 	bf_wire_reader_t reader;
 	bf_load_t load;
 
+	record_frame_delay(mesh, inbound->peer, frame, now_us);
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_PROBE:
@@ -560,7 +583,8 @@
 		handle_offer(inbound, frame, &reader, now_us);
 		break;
 	case BF_FRAME_CANCEL:
-		bf_target_cancel(mesh, inbound, frame->offer_id, now_us);
+		bf_target_cancel(mesh, inbound, frame->offer_id,
+		    now_us - frame->queueing_delay_us, now_us);
 		break;
 	case BF_FRAME_CONFIG_GET:
 		bf_config_source_serve(mesh, link, &reader, now_us);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -649,17 +649,25 @@
 		    now_us + EXPIRY_INTERVAL_US);
 }
 
-/* Ends a call whose caller no longer waits for it. */
+/* Ends a call whose caller left at left_us. */
 static void
-cancel_call(bf_target_call_t *call, bf_time_us_t now_us)
+cancel_call(bf_target_call_t *call, bf_time_us_t left_us, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = call->mesh;
+	bool started_late = call->running && call->sent_us > left_us;
 
-	if (bf_events_sampled(mesh->events, call->request_id))
+	if (started_late || bf_events_sampled(mesh->events, call->request_id))
 		bf_event(mesh->events, BF_EVENT_CANCELLED, now_us,
-		    "s:s,s:s,s:I", "call", call->request_id, "at",
+		    "s:s,s:s,s:I,s:I,s:I", "call", call->request_id, "at",
 		    call->running ? "target" : "queue", "after_us",
-		    (json_int_t)(now_us - call->arrived_us));
+		    (json_int_t)(now_us - call->arrived_us), "left_us",
+		    (json_int_t)(now_us - left_us), "ran_us",
+		    (json_int_t)(call->running ? now_us - call->sent_us : 0));
+	if (call->running)
+		bf_metric_observe(mesh->metrics.left, "end", now_us - left_us);
+	if (started_late)
+		bf_metric_observe(
+		    mesh->metrics.left, "start", call->sent_us - left_us);
 	bf_metric_count(mesh->metrics.runs, "cancelled", 1);
 	if (call->waiting) {
 		bf_call_queue_remove(&mesh->target.queue, &call->queued);
@@ -673,8 +681,8 @@
 }
 
 void
-bf_target_cancel(
-    bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id, bf_time_us_t now_us)
+bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
+    bf_time_us_t left_us, bf_time_us_t now_us)
 {
 	bf_target_call_t *call;
 
@@ -682,14 +690,14 @@
 	while (call != NULL && call->offer_id != offer_id)
 		call = call->next;
 	if (call != NULL)
-		cancel_call(call, now_us);
+		cancel_call(call, left_us, now_us);
 }
 
 void
 bf_target_cancel_from(bf_inbound_t *from, bf_time_us_t now_us)
 {
 	while (from->calls != NULL)
-		cancel_call(from->calls, now_us);
+		cancel_call(from->calls, now_us, now_us);
 }
 
 void
--- a/net/loop.c
+++ b/net/loop.c
@@ -20,6 +20,8 @@
 	void **to_free;
 	size_t to_free_count;
 	size_t to_free_capacity;
+	void (*iterated)(void *ctx, bf_time_us_t took_us, bf_time_us_t now_us);
+	void *iterated_ctx;
 };
 
 bf_loop_t *
@@ -242,6 +244,15 @@
 	return (int)((remaining_us + BF_US_PER_MS - 1) / BF_US_PER_MS);
 }
 
+void
+bf_loop_observe(bf_loop_t *loop,
+    void (*iterated)(void *ctx, bf_time_us_t took_us, bf_time_us_t now_us),
+    void *ctx)
+{
+	loop->iterated = iterated;
+	loop->iterated_ctx = ctx;
+}
+
 static void
 run_iteration(bf_loop_t *loop)
 {
@@ -259,6 +270,9 @@
 	}
 	fire_timers(loop, now_us);
 	run_tasks(loop, now_us);
+	if (loop->iterated != NULL)
+		loop->iterated(loop->iterated_ctx,
+		    bf_clock_monotonic_us() - now_us, now_us);
 	free_deferred(loop);
 }
 
--- a/net/loop.h
+++ b/net/loop.h
@@ -46,6 +46,14 @@
 bf_loop_t *bf_loop_new(bf_error_t *err);
 void bf_loop_free(bf_loop_t *loop);
 
+/*
+ * Sets a function that is called after each iteration with the time that it
+ * took, the wait for events excluded.
+ */
+void bf_loop_observe(bf_loop_t *loop,
+    void (*iterated)(void *ctx, bf_time_us_t took_us, bf_time_us_t now_us),
+    void *ctx);
+
 /* Runs until bf_loop_stop; may be called again afterwards. */
 void bf_loop_run(bf_loop_t *loop);
 void bf_loop_stop(bf_loop_t *loop);
--- a/observe/events.c
+++ b/observe/events.c
@@ -50,6 +50,9 @@
 	[BF_EVENT_RAN] = { "ran", 20 },
 	[BF_EVENT_REFUSED] = { "refused", 20 },
 	[BF_EVENT_CANCELLED] = { "cancelled", 20 },
+	[BF_EVENT_UNCLAIMED] = { "unclaimed", 20 },
+	[BF_EVENT_FRAME_LATE] = { "frame-late", 10 },
+	[BF_EVENT_STALL] = { "stall", 10 },
 };
 
 typedef struct bf_event_rate {
