--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -207,7 +207,8 @@
 		    "s:s,s:s,s:I,s:I,s:I", "peer",
 		    peer != NULL ? peer->instance : "", "kind", kind, "offer",
 		    (json_int_t)frame->offer_id, "bytes",
-		    (json_int_t)(frame->payload_bytes + frame->body_bytes),
+		    (json_int_t)frame->payload_bytes +
+			(json_int_t)frame->body_bytes,
 		    "delay_us", (json_int_t)frame->queueing_delay_us);
 }
 
