--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -604,6 +604,7 @@
 {
 	bf_mesh_options_t *options = &fixture->options[node];
 	bf_time_us_t now_us = bf_clock_monotonic_us();
+	char advertise[BF_ADDRESS_BYTES];
 
 	(void)snprintf(
 	    fixture->names[node], sizeof(fixture->names[node]), "n%u", node);
@@ -621,11 +622,23 @@
 		.retry_burst = 1000,
 		.retry_window_ms = 10000,
 	};
+	if (fixture->has_links) {
+		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
+		    soak_address_text(),
+		    (unsigned int)soak_proxy_port(&fixture->links[node]));
+		options->advertise_address = advertise;
+		options->link_mbps = (uint32_t)MAX(
+		    1, fixture->links[node].bytes_per_s * 8 / 1000000);
+	}
 	fixture->nodes[node] = bf_mesh_new(options, &dialect, fixture->loop,
 	    &fixture->store.kv, NULL, fixture->metrics, NULL);
 	g_assert_nonnull(fixture->nodes[node]);
 	g_assert_cmpint(
 	    bf_mesh_start(fixture->nodes[node], now_us, NULL), ==, BF_OK);
+	options->advertise_address = NULL;
+	if (fixture->has_links)
+		fixture->links[node].upstream = loopback(
+		    bf_listener_port(&fixture->nodes[node]->peer_listener));
 }
 
 void
@@ -657,8 +670,15 @@
 
 mesh_fixture_t *
 fixture_new(uint32_t nodes)
+{
+	return fixture_new_with_links(nodes, 0);
+}
+
+mesh_fixture_t *
+fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
 {
 	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+	struct sockaddr_in unknown = loopback(0);
 	uint32_t i;
 
 	fixture->loop = bf_loop_new(NULL);
@@ -668,8 +688,14 @@
 	fixture->store.fixture = fixture;
 	fixture->store.revision = 1;
 	fixture->node_count = nodes;
+	fixture->has_links = bytes_per_s != 0;
 	for (i = 0; i < nodes; i++) {
 		open_target(fixture, i);
+		if (fixture->has_links) {
+			soak_proxy_open(
+			    &fixture->links[i], fixture->loop, &unknown);
+			fixture->links[i].bytes_per_s = bytes_per_s;
+		}
 		fixture_start_node(fixture, i);
 	}
 	fixture_run(fixture, SETTLE_US);
@@ -688,6 +714,8 @@
 	for (i = 0; i < fixture->node_count; i++) {
 		bf_mesh_free(fixture->nodes[i]);
 		bf_listener_close(&fixture->targets[i].listener);
+		if (fixture->has_links)
+			soak_proxy_close(&fixture->links[i]);
 	}
 	while (fixture->connections->len > 0)
 		drop_connection(g_ptr_array_index(fixture->connections, 0));
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -5,6 +5,7 @@
 
 #include "http/client.h"
 #include "mesh/internal.h"
+#include "tests/soak/proxy.h"
 
 /*
  * Test fixture: several mesh nodes with their targets, an in-memory store and a
@@ -98,6 +99,8 @@
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
 	fake_target_t targets[FIXTURE_NODES_MAX];
+	bool has_links;
+	soak_proxy_t links[FIXTURE_NODES_MAX]; /* from peers to each node */
 	uint32_t node_count;
 	GPtrArray *connections; /* open connections to the targets */
 	bf_timer_t run_timer;
@@ -124,6 +127,10 @@
  * "b", the others in zone "a".
  */
 mesh_fixture_t *fixture_new(uint32_t nodes);
+
+/* The same, with a link of that rate between each node and its peers. */
+mesh_fixture_t *fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s);
+
 void fixture_free(mesh_fixture_t *fixture);
 
 /* Runs the loop for this time. */
--- a/tests/soak/proxy.c
+++ b/tests/soak/proxy.c
@@ -1,5 +1,6 @@
 #include <arpa/inet.h>
 #include <string.h>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -11,9 +12,13 @@
 #define LOOPBACK_HOST_COUNT 0x00f00000U
 
 #define FORWARD_INTERVAL_US (3 * BF_US_PER_MS)
+/* What one connection holds and is sent at once, on a link of limited rate. */
+#define WINDOW_BYTES 16384
+#define PACKET_BYTES 1460
 
 typedef struct chunk {
 	bf_time_us_t due_us;
+	size_t sent_bytes;
 	size_t bytes;
 	uint8_t data[];
 } chunk_t;
@@ -24,6 +29,8 @@
 	bf_tcp_t tcp; /* first member */
 	pair_t *pair;
 	GQueue *queue; /* chunk_t received here, to send to the peer */
+	size_t queued_bytes;
+	bool paused; /* nothing is read while the queue is long */
 	bool eof_received;
 } endpoint_t;
 
@@ -82,9 +89,16 @@
 	chunk_t *chunk = g_malloc(sizeof(*chunk) + bytes);
 
 	chunk->due_us = now_us + endpoint->pair->proxy->delay_us;
+	chunk->sent_bytes = 0;
 	chunk->bytes = bytes;
 	memcpy(chunk->data, data, bytes);
 	g_queue_push_tail(endpoint->queue, chunk);
+	endpoint->queued_bytes += bytes;
+	if (endpoint->pair->proxy->bytes_per_s != 0 &&
+	    endpoint->queued_bytes >= WINDOW_BYTES) {
+		endpoint->paused = true;
+		bf_loop_change(tcp->loop, &tcp->source, 0);
+	}
 }
 
 static void
@@ -104,12 +118,43 @@
 	.ended = on_ended,
 };
 
-static void
-forward_pair(pair_t *pair, bf_time_us_t now_us)
+/* Sends up to max_bytes from one end to the other; returns what was sent. */
+static size_t
+forward_bytes(endpoint_t *endpoint, endpoint_t *peer, size_t max_bytes,
+    bf_time_us_t now_us)
 {
-	const soak_proxy_t *proxy = pair->proxy;
+	size_t sent = 0, bytes;
 	chunk_t *chunk;
+
+	while (sent < max_bytes &&
+	    (chunk = g_queue_peek_head(endpoint->queue)) != NULL &&
+	    chunk->due_us <= now_us) {
+		bytes = MIN(chunk->bytes - chunk->sent_bytes, max_bytes - sent);
+		if (bf_tcp_is_open(&peer->tcp))
+			bf_tcp_send(
+			    &peer->tcp, chunk->data + chunk->sent_bytes, bytes);
+		chunk->sent_bytes += bytes;
+		sent += bytes;
+		if (chunk->sent_bytes == chunk->bytes)
+			g_free(g_queue_pop_head(endpoint->queue));
+	}
+	endpoint->queued_bytes -= sent;
+	if (endpoint->paused && endpoint->queued_bytes < WINDOW_BYTES / 2) {
+		endpoint->paused = false;
+		if (bf_tcp_is_open(&endpoint->tcp))
+			bf_loop_change(endpoint->tcp.loop,
+			    &endpoint->tcp.source, EPOLLIN | EPOLLRDHUP);
+	}
+	return sent;
+}
+
+/* Forwards in both directions, a packet each if the rate is limited. */
+static size_t
+forward_pair(pair_t *pair, bf_time_us_t now_us)
+{
+	soak_proxy_t *proxy = pair->proxy;
 	endpoint_t *endpoint, *peer;
+	size_t total = 0, sent, max;
 	int i;
 
 	for (i = 0; i < SOAK_SIDE_COUNT && !pair->closed; i++) {
@@ -117,32 +162,55 @@
 		peer = &pair->endpoints[1 - i];
 		if (pair->silent || proxy->cut[i])
 			continue;
-		while ((chunk = g_queue_peek_head(endpoint->queue)) != NULL &&
-		    chunk->due_us <= now_us) {
-			g_queue_pop_head(endpoint->queue);
-			if (bf_tcp_is_open(&peer->tcp))
-				bf_tcp_send(
-				    &peer->tcp, chunk->data, chunk->bytes);
-			g_free(chunk);
-		}
+		max = SIZE_MAX;
+		if (proxy->bytes_per_s != 0)
+			max = bf_tcp_unsent(&peer->tcp) > WINDOW_BYTES
+			    ? 0
+			    : MIN(proxy->credit_bytes[i], PACKET_BYTES);
+		sent = forward_bytes(endpoint, peer, max, now_us);
+		proxy->credit_bytes[i] -= MIN(proxy->credit_bytes[i], sent);
+		total += sent;
 		if (endpoint->eof_received &&
 		    g_queue_is_empty(endpoint->queue) &&
 		    bf_tcp_unsent(&peer->tcp) == 0)
 			close_pair(pair, false);
 	}
+	return total;
+}
+
+static size_t
+forward_round(soak_proxy_t *proxy, bf_time_us_t now_us)
+{
+	size_t total = 0;
+	guint i;
+
+	for (i = proxy->pairs->len; i > 0; i--) {
+		proxy->next_pair++;
+		if (proxy->pairs->len > 0)
+			total += forward_pair(
+			    g_ptr_array_index(proxy->pairs,
+				proxy->next_pair % proxy->pairs->len),
+			    now_us);
+	}
+	return total;
 }
 
 static void
 on_tick(bf_timer_t *timer, bf_time_us_t now_us)
 {
 	soak_proxy_t *proxy = BF_CONTAINER(timer, soak_proxy_t, tick);
-	guint i;
+	bf_time_us_t since_us = now_us - proxy->forwarded_at_us;
+	int i;
 
-	for (i = proxy->pairs->len; i > 0; i--) {
-		if (i <= proxy->pairs->len)
-			forward_pair(
-			    g_ptr_array_index(proxy->pairs, i - 1), now_us);
+	for (i = 0; i < SOAK_SIDE_COUNT; i++) {
+		proxy->credit_bytes[i] +=
+		    proxy->bytes_per_s * (uint64_t)since_us / BF_US_PER_S;
+		if (proxy->credit_bytes[i] > WINDOW_BYTES)
+			proxy->credit_bytes[i] = WINDOW_BYTES;
 	}
+	proxy->forwarded_at_us = now_us;
+	while (forward_round(proxy, now_us) > 0 && proxy->bytes_per_s != 0)
+		;
 	bf_loop_timer_set(proxy->loop, timer, now_us + FORWARD_INTERVAL_US);
 }
 
@@ -152,7 +220,7 @@
 {
 	soak_proxy_t *proxy = BF_CONTAINER(listener, soak_proxy_t, listener);
 	pair_t *pair = g_malloc0(sizeof(*pair));
-	int i;
+	int window_bytes = WINDOW_BYTES, i;
 
 	(void)from;
 	(void)now_us;
@@ -162,6 +230,9 @@
 		pair->endpoints[i].queue = g_queue_new();
 	}
 	g_ptr_array_add(proxy->pairs, pair);
+	if (proxy->bytes_per_s != 0)
+		(void)setsockopt(
+		    fd, SOL_SOCKET, SO_RCVBUF, &window_bytes, sizeof(int));
 	if (bf_tcp_adopt(&pair->endpoints[SOAK_SIDE_CLIENT].tcp,
 		&endpoint_vtable, proxy->loop, fd, NULL) != BF_OK ||
 	    bf_tcp_connect(&pair->endpoints[SOAK_SIDE_SERVER].tcp,
@@ -182,6 +253,7 @@
 		.upstream = *upstream,
 		.pairs = g_ptr_array_new(),
 		.tick = { .fire = on_tick },
+		.forwarded_at_us = bf_clock_monotonic_us(),
 	};
 	g_assert_cmpint(
 	    bf_listener_open(&proxy->listener, loop, &any, NULL), ==, BF_OK);
@@ -220,3 +292,12 @@
 	proxy->cut[SOAK_SIDE_CLIENT] = false;
 	proxy->cut[SOAK_SIDE_SERVER] = false;
 }
+
+void
+soak_proxy_close(soak_proxy_t *proxy)
+{
+	bf_listener_close(&proxy->listener);
+	bf_loop_timer_cancel(proxy->loop, &proxy->tick);
+	soak_proxy_reset(proxy);
+	g_ptr_array_free(proxy->pairs, TRUE);
+}
--- a/tests/soak/proxy.h
+++ b/tests/soak/proxy.h
@@ -7,7 +7,7 @@
 
 /*
  * A loopback TCP proxy in front of one address that injects network faults;
- * it runs on the soak test's event loop.  A cut holds data back and discards
+ * it runs on the event loop of the test.  A cut holds data back and discards
  * nothing, as a network outage does after which both ends retransmit.
  */
 
@@ -25,6 +25,15 @@
 	bf_timer_t tick;
 	bf_time_us_t delay_us;
 	bool cut[SOAK_SIDE_COUNT]; /* data sent by that side is held */
+	/*
+	 * Rate of the link that all connections share, in each direction; 0:
+	 * not limited.  Set before connections open, as their buffers are
+	 * small then.
+	 */
+	uint64_t bytes_per_s;
+	bf_time_us_t forwarded_at_us;
+	uint64_t credit_bytes[SOAK_SIDE_COUNT]; /* that may be sent now */
+	guint next_pair;                        /* that is served first */
 } soak_proxy_t;
 
 /*
@@ -39,6 +48,9 @@
     soak_proxy_t *proxy, bf_loop_t *loop, const struct sockaddr_in *upstream);
 uint16_t soak_proxy_port(const soak_proxy_t *proxy);
 
+/* Stops listening, closes all connections and frees the lists. */
+void soak_proxy_close(soak_proxy_t *proxy);
+
 /* Closes all open connections with a TCP reset. */
 void soak_proxy_reset(soak_proxy_t *proxy);
 
