Do not dispatch requests that are read after their client has closed

Callers saw their calls run although they had left before the node read them. A busy node finds the request and the end of the connection together in the socket; it read and offered the request, and noticed the end in the next iteration of its loop, when the offer was on its way to another node or to the target. epoll had reported the end together with the bytes (EPOLLRDHUP).

The HTTP server now drops such a connection before parsing, if it has an abandoned callback, which says that answers are of use only to a client that waits. Servers without one (metrics, heartbeats, readiness) answer as before. Ruled out: leaving it to the cancellation of the next iteration, since the offer may reach its target before.

--- a/http/server.c
+++ b/http/server.c
@@ -222,6 +222,11 @@
 {
 	bf_http_conn_t *conn = conn_of(tcp);
 
+	if (tcp->peer_closed && conn->server->vtable->abandoned != NULL) {
+		/* Nobody waits for the requests in these bytes. */
+		drop_conn(conn, now_us);
+		return;
+	}
 	conn->now_us = now_us;
 	conn->active_us = now_us;
 	if (conn->reading_ended)
--- a/http/server.h
+++ b/http/server.h
@@ -20,7 +20,9 @@
 	    bf_time_us_t now_us);
 	/*
 	 * The client closed the connection before the answer; the request is
-	 * freed after the call.  Called only for requests with a user.
+	 * freed after the call.  Called only for requests with a user.  With
+	 * this callback, requests that are read only after the client has
+	 * closed its side are not dispatched at all.  May be NULL.
 	 */
 	void (*abandoned)(bf_http_server_t *server, bf_http_request_t *request,
 	    bf_time_us_t now_us);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -125,6 +125,8 @@
 		if (!bf_tcp_is_open(tcp))
 			return;
 	}
+	if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+		tcp->peer_closed = true;
 	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
 		read_once(tcp, now_us);
 }
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -35,6 +35,7 @@
 	bool connecting;
 	bool blocked;            /* the send buffer of the kernel is full */
 	bool close_when_flushed; /* close once all bytes are written */
+	bool peer_closed;        /* bytes sent before may still be unread */
 	uint64_t sent_bytes;
 };
 
