Measure the age of an offer against the other direction of its link

Calls were started at targets up to 1.9 s after their callers had left, and after their own deadline. The node beside the target subtracts the delay of an offer from its time left, but measured it against the fastest frame of the last 1 to 2 s on the same connection. On a link that had been full for longer, that frame was late too, and the delay came out as nearly none.

An offer and a cancellation now also state the least recent transit time of frames in the other direction, by the clocks of both nodes. Its sum with the frame's own transit time is free of the offset between the two clocks: the true delay of the frame, plus the least recent delay of the other direction. Ruled out: a longer window, since the clock of a suspended node stands still and every frame would look late until the window has passed; the clock that counts suspended time, since it would still not know how late the fastest frame was. A node of an earlier version sends no such field, and ignores it; its offers are measured as before.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -445,6 +445,8 @@
 		return;
 	}
 	offer.target_id = peer->state.target;
+	offer.has_reverse_transit =
+	    bf_mesh_link_min_transit(peer->link, &offer.reverse_transit_us);
 	bf_wire_write_offer(&mesh->writer, &offer);
 	bf_mesh_link_send(peer->link, BF_FRAME_OFFER, offer.id, &mesh->writer,
 	    &message->body, now_us);
@@ -716,6 +718,7 @@
 	bf_mesh_t *mesh = call->mesh;
 	bf_peer_t *peer = call->peer;
 	uint64_t offer_id = call->offer_id;
+	bf_time_us_t reverse_transit_us;
 
 	if (peer == NULL)
 		return;
@@ -723,9 +726,13 @@
 	remember_cancelled(call, offer_id, now_us);
 	if (peer->self)
 		bf_target_cancel(mesh, NULL, offer_id, now_us, now_us);
-	else if (peer->connected)
-		bf_mesh_link_send(
-		    peer->link, BF_FRAME_CANCEL, offer_id, NULL, NULL, now_us);
+	else if (peer->connected) {
+		if (bf_mesh_link_min_transit(peer->link, &reverse_transit_us))
+			bf_wire_write_uint(
+			    &mesh->writer, (uint64_t)reverse_transit_us);
+		bf_mesh_link_send(peer->link, BF_FRAME_CANCEL, offer_id,
+		    &mesh->writer, NULL, now_us);
+	}
 }
 
 /*
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -174,6 +174,12 @@
 	uint32_t priority;   /* 0 is the most urgent */
 	bf_time_us_t remaining_us;           /* until its deadline */
 	bf_time_us_t objective_remaining_us; /* until its objective */
+	/*
+	 * Minimum transit time of recent frames from the receiver, by the
+	 * clocks of both nodes.
+	 */
+	bf_time_us_t reverse_transit_us;
+	bool has_reverse_transit;
 	const bf_bytes_t *head; /* request line and fields, no empty line */
 	const void *body;
 	size_t body_bytes;
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -29,15 +29,26 @@
 	return (bf_mesh_link_t *)(void *)tcp;
 }
 
+bool
+bf_mesh_link_min_transit(const bf_mesh_link_t *link, bf_time_us_t *transit_us)
+{
+	*transit_us = link->min_transit_us[0] < link->min_transit_us[1]
+	    ? link->min_transit_us[0]
+	    : link->min_transit_us[1];
+	return link->has_min_transit;
+}
+
 /*
  * Transit time of a frame beyond the recent minimum.  The clocks of two nodes
  * differ by an unknown offset, which jumps when one of them was suspended; the
- * recent minimum of receive time - send time stands in for that offset.
+ * recent minimum of receive time - send time stands in for that offset.  It is
+ * too small a delay on a connection whose recent frames were all late.
  */
 static bf_time_us_t
-queueing_delay(bf_mesh_link_t *link, bf_time_us_t sent_us, bf_time_us_t now_us)
+queueing_delay(
+    bf_mesh_link_t *link, bf_time_us_t transit_us, bf_time_us_t now_us)
 {
-	bf_time_us_t transit_us = now_us - sent_us, min_us;
+	bf_time_us_t min_us;
 
 	if (!link->has_min_transit) {
 		link->has_min_transit = true;
@@ -51,9 +62,7 @@
 	} else if (transit_us < link->min_transit_us[0]) {
 		link->min_transit_us[0] = transit_us;
 	}
-	min_us = link->min_transit_us[0] < link->min_transit_us[1]
-	    ? link->min_transit_us[0]
-	    : link->min_transit_us[1];
+	(void)bf_mesh_link_min_transit(link, &min_us);
 	return transit_us - min_us;
 }
 
@@ -89,8 +98,9 @@
 		.body = data + HEADER_BYTES + payload_bytes,
 		.body_bytes = body_bytes,
 	};
+	frame->transit_us = now_us - (bf_time_us_t)le64toh(sent_us);
 	frame->queueing_delay_us =
-	    queueing_delay(link, (bf_time_us_t)le64toh(sent_us), now_us);
+	    queueing_delay(link, frame->transit_us, now_us);
 	return HEADER_BYTES + (size_t)payload_bytes + body_bytes;
 }
 
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -33,6 +33,8 @@
 	size_t payload_bytes;
 	const void *body; /* of a request or an answer, not encoded */
 	size_t body_bytes;
+	/* Receive time - send time, by the clocks of two nodes. */
+	bf_time_us_t transit_us;
 	/* Transit time beyond that of the fastest recent frame. */
 	bf_time_us_t queueing_delay_us;
 } bf_frame_t;
@@ -79,6 +81,13 @@
     uint64_t offer_id, bf_wire_writer_t *writer, const bf_bytes_t *body,
     bf_time_us_t now_us);
 
+/*
+ * Minimum transit time of the frames received in the last 1 to 2 s, by the
+ * clocks of two nodes; false before the first frame.
+ */
+bool bf_mesh_link_min_transit(
+    const bf_mesh_link_t *link, bf_time_us_t *transit_us);
+
 /* Closes the connection without a callback and frees its buffers, not link. */
 void bf_mesh_link_close(bf_mesh_link_t *link);
 
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -496,6 +496,27 @@
 	bf_movement_send_all(mesh, &inbound->link, now_us);
 }
 
+/*
+ * How long ago a frame was sent.  The frame's transit time and that of a frame
+ * in the other direction, which it states, have the offset between the two
+ * clocks with opposite signs, so their sum is a true time: the delay of this
+ * frame and the least recent delay of the other direction.  An older node
+ * states none; the delay beyond the recent minimum is all that is known then.
+ */
+static bf_time_us_t
+read_frame_age(bf_wire_reader_t *reader, const bf_frame_t *frame)
+{
+	bf_time_us_t age_us;
+
+	if (bf_wire_reader_done(reader))
+		return frame->queueing_delay_us;
+	age_us = frame->transit_us +
+	    (bf_time_us_t)bf_wire_read_uint(reader, UINT64_MAX);
+	/* Less if a clock stood still in between, as when suspended. */
+	return age_us > frame->queueing_delay_us ? age_us
+						 : frame->queueing_delay_us;
+}
+
 static void
 handle_offer(bf_inbound_t *inbound, const bf_frame_t *frame,
     bf_wire_reader_t *reader, bf_time_us_t now_us)
@@ -504,6 +525,7 @@
 	char route[BF_NAME_BYTES];
 	bf_bytes_t head = { 0 };
 	bf_offer_t offer = { .id = frame->offer_id };
+	bf_time_us_t age_us;
 	uint64_t flags;
 	size_t bytes;
 
@@ -518,6 +540,7 @@
 	head.data = (uint8_t *)(uintptr_t)bf_wire_read_bytes(
 	    reader, BF_MESSAGE_BYTES_MAX, &bytes);
 	head.end = bytes;
+	age_us = read_frame_age(reader, frame);
 	if (reader->code != BF_OK)
 		return;
 	offer.request_id = request_id;
@@ -530,8 +553,8 @@
 	offer.has_body = (flags & 16) != 0;
 	offer.is_retry = (flags & 32) != 0;
 	/* A frame delayed by the network has less time left than it states. */
-	offer.remaining_us -= frame->queueing_delay_us;
-	offer.objective_remaining_us -= frame->queueing_delay_us;
+	offer.remaining_us -= age_us;
+	offer.objective_remaining_us -= age_us;
 	offer.head = &head;
 	offer.body = frame->body;
 	offer.body_bytes = frame->body_bytes;
@@ -558,6 +581,8 @@
 		    : 0));
 	bf_wire_write_bytes(
 	    writer, bf_bytes_data(offer->head), bf_bytes_count(offer->head));
+	if (offer->has_reverse_transit)
+		bf_wire_write_uint(writer, (uint64_t)offer->reverse_transit_us);
 }
 
 /* Handles a frame received on a connection that a peer dialled. */
@@ -585,7 +610,7 @@
 		break;
 	case BF_FRAME_CANCEL:
 		bf_target_cancel(mesh, inbound, frame->offer_id,
-		    now_us - frame->queueing_delay_us, now_us);
+		    now_us - read_frame_age(&reader, frame), now_us);
 		break;
 	case BF_FRAME_CONFIG_GET:
 		bf_config_source_serve(mesh, link, &reader, now_us);
--- a/tests/test_callers_leave.c
+++ b/tests/test_callers_leave.c
@@ -333,6 +333,7 @@
 		.repeatable = true,
 		.remaining_us = remaining_us,
 		.objective_remaining_us = remaining_us,
+		.has_reverse_transit = true,
 		.head = &head,
 	};
 	bf_wire_writer_t writer;
