Let the node beside a target request large bodies in parts

Calls reached targets over half a second after their callers had left, and cancellations took as long to stop runs.

A body of over 8 KB is no longer sent with the offer. The node beside the target requests it in parts of 16 to 64 KB, most urgent calls first, with no more under way than its link carries in 50 ms, nor more of one body than the entry's link does. A call that would be too late once its body is there is refused before any byte of it is sent. A node that is lost before it has all parts has not run the call, so the call goes to another one even if it is not repeatable; it ended with 502 before.

Ruled out: cancellations overtaking bodies at the entry, since the queue is that of the receiver's link, which all entries share; a share of the link for each entry, since most of them send nothing most of the time. Nodes of earlier versions do not announce that they request bodies, and get them with the offer as before.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -44,6 +44,8 @@
 #define OWN_ZONE_DELAY_SHARE 0.6
 #define OWN_ZONE_DELAY_SHARE_LARGE 0.8
 #define LARGE_BODY_BYTES 8192
+/* A longer body is not sent with the offer; the node requests it in parts. */
+#define BODY_INLINE_BYTES_MAX 8192
 #define CANDIDATES_MAX 512
 
 struct bf_entry_call {
@@ -66,6 +68,8 @@
 	bf_peer_t *tried[BF_OFFERS_MAX];
 	bf_peer_t *peer;   /* that holds the offer; NULL: none */
 	uint64_t offer_id; /* of the last offer */
+	bool body_follows; /* the peer requests the body, in parts */
+	size_t body_sent_bytes;
 	bf_time_us_t offered_us;
 	bf_cause_t cause; /* of the last offer that failed */
 	/* Shortest expected wait for a slot that a refusal stated; 0: none. */
@@ -419,6 +423,7 @@
 	};
 
 	call->offer_id = ++mesh->last_offer_id;
+	call->body_follows = false;
 	offer.id = call->offer_id;
 	call->tried[call->offers++] = peer;
 	call->peer = peer;
@@ -445,11 +450,48 @@
 		return;
 	}
 	offer.target_id = peer->state.target;
+	offer.body_follows = peer->state.pulls_bodies &&
+	    offer.body_bytes > BODY_INLINE_BYTES_MAX;
+	call->body_follows = offer.body_follows;
+	call->body_sent_bytes = 0;
 	offer.has_reverse_transit =
 	    bf_mesh_link_min_transit(peer->link, &offer.reverse_transit_us);
 	bf_wire_write_offer(&mesh->writer, &offer);
 	bf_mesh_link_send(peer->link, BF_FRAME_OFFER, offer.id, &mesh->writer,
-	    &message->body, now_us);
+	    offer.body_follows ? NULL : &message->body, now_us);
+}
+
+void
+bf_entry_send_body(bf_peer_t *peer, uint64_t offer_id, size_t offset,
+    size_t bytes, bf_time_us_t now_us)
+{
+	const bf_bytes_t *body;
+	bf_entry_call_t *call;
+	bf_bytes_t part;
+
+	call = apr_hash_get(
+	    peer->mesh->offered_calls, &offer_id, sizeof(offer_id));
+	if (call == NULL || call->peer != peer)
+		return; /* it was cancelled */
+	body = &call->request->message->body;
+	if (offset > bf_bytes_count(body) ||
+	    bytes > bf_bytes_count(body) - offset)
+		return;
+	part = *body;
+	part.start += offset;
+	part.end = part.start + bytes;
+	call->body_sent_bytes += bytes;
+	bf_mesh_link_send(
+	    peer->link, BF_FRAME_BODY, offer_id, NULL, &part, now_us);
+}
+
+/* Whether the peer cannot have run the call, as it lacks a part of its body. */
+static bool
+lacks_body(const bf_entry_call_t *call)
+{
+	return call->peer != NULL && call->body_follows &&
+	    call->body_sent_bytes <
+	    bf_bytes_count(&call->request->message->body);
 }
 
 /*
@@ -765,6 +807,7 @@
 	apr_array_header_t *lost;
 	apr_pool_t *pool;
 	apr_hash_index_t *at;
+	bool not_run;
 	int i;
 
 	if (apr_pool_create(&pool, mesh->pool) != APR_SUCCESS)
@@ -783,8 +826,14 @@
 			reoffer_from_silent(call, now_us);
 			continue;
 		}
+		not_run = lacks_body(call);
 		cancel_offer(call, now_us);
-		handle_unknown(call, BF_CAUSE_PEER_LOST, now_us);
+		if (not_run) {
+			call->cause = BF_CAUSE_PEER_LOST;
+			offer_next(call, now_us);
+		} else {
+			handle_unknown(call, BF_CAUSE_PEER_LOST, now_us);
+		}
 	}
 	apr_pool_destroy(pool);
 }
@@ -795,8 +844,9 @@
 	bf_entry_call_t *call = BF_CONTAINER(timer, bf_entry_call_t, timeout);
 
 	if (call->peer != NULL) {
+		if (!lacks_body(call))
+			call->may_have_run = true;
 		cancel_offer(call, now_us);
-		call->may_have_run = true;
 	}
 	give_up(call, BF_CAUSE_TIMEOUT, now_us);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -7,6 +7,7 @@
 #include "base/digest.h"
 #include "http/client.h"
 #include "mesh/balance.h"
+#include "mesh/body_pull.h"
 #include "mesh/call_queue.h"
 #include "mesh/link.h"
 #include "mesh/mesh.h"
@@ -59,6 +60,8 @@
 	uint32_t link_mbps;
 	uint64_t config_version; /* in force; 0: none */
 	bf_load_t load;
+	/* It requests large bodies in parts; nodes of before 0.2 do not. */
+	bool pulls_bodies;
 } bf_node_state_t;
 
 /* Another node, or this node itself (self). */
@@ -184,6 +187,7 @@
 	const void *body;
 	size_t body_bytes;
 	bool has_body;
+	bool body_follows; /* in parts, when the receiver requests them */
 } bf_offer_t;
 
 /* Moving average of the time that runs of a route take at the own target. */
@@ -228,6 +232,7 @@
 
 	bf_http_client_t client;
 	bf_call_queue_t queue;
+	bf_body_pulls_t pulls; /* bodies of calls that are not queued yet */
 	bf_route_latency_t latencies[BF_ROUTE_LATENCIES_MAX];
 	uint32_t latency_count;
 	double failure_share; /* of recent runs, at failure_share_at_us */
@@ -523,6 +528,9 @@
  * that has been silent for a while.
  */
 void bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us);
+/* Sends a part of the body of a call that was offered to the peer. */
+void bf_entry_send_body(bf_peer_t *peer, uint64_t offer_id, size_t offset,
+    size_t bytes, bf_time_us_t now_us);
 /* Defined in mesh/roster.c, beside the function that reads the frame. */
 void bf_wire_write_offer(bf_wire_writer_t *writer, const bf_offer_t *offer);
 
@@ -534,6 +542,9 @@
 /* left_us: when the caller left, as far as it is known. */
 void bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
     bf_time_us_t left_us, bf_time_us_t now_us);
+/* Receives a part of the body of an offered call. */
+void bf_target_receive_body(bf_mesh_t *mesh, bf_inbound_t *from,
+    const bf_frame_t *frame, bf_time_us_t now_us);
 /* Cancels all calls that came by a connection, which has closed. */
 void bf_target_cancel_from(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -18,9 +18,11 @@
 	BF_FRAME_REPLY,      /* reply to an offer */
 	BF_FRAME_CONFIG_GET, /* requests the configuration in force */
 	BF_FRAME_CONFIG,
-	BF_FRAME_RUNS, /* counts of the runs at the sender's target */
-	BF_FRAME_MOVE, /* current state of a move */
-	BF_FRAME_PROBE /* requests the load of the target at once */
+	BF_FRAME_RUNS,     /* counts of the runs at the sender's target */
+	BF_FRAME_MOVE,     /* current state of a move */
+	BF_FRAME_PROBE,    /* requests the load of the target at once */
+	BF_FRAME_BODY_GET, /* requests a part of the body of an offered call */
+	BF_FRAME_BODY      /* that part */
 } bf_frame_kind_t;
 
 /* The name of a kind, for logs; "unknown" for one of a later version. */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -220,6 +220,7 @@
 	bf_peer_t *peer = link->owner;
 	bf_wire_reader_t reader;
 	bf_node_state_t state = { 0 };
+	uint64_t offset, bytes;
 	bf_load_t load;
 
 	peer->silent = false;
@@ -254,6 +255,13 @@
 	case BF_FRAME_MOVE:
 		bf_movement_receive(peer->mesh, peer, &reader, now_us);
 		break;
+	case BF_FRAME_BODY_GET:
+		offset = bf_wire_read_uint(&reader, SIZE_MAX);
+		bytes = bf_wire_read_uint(&reader, SIZE_MAX);
+		if (reader.code == BF_OK)
+			bf_entry_send_body(
+			    peer, frame->offer_id, offset, bytes, now_us);
+		break;
 	default:
 		break; /* a frame of a later protocol version */
 	}
@@ -540,6 +548,10 @@
 	head.data = (uint8_t *)(uintptr_t)bf_wire_read_bytes(
 	    reader, BF_MESSAGE_BYTES_MAX, &bytes);
 	head.end = bytes;
+	offer.body_follows = (flags & 64) != 0;
+	offer.body_bytes = offer.body_follows
+	    ? bf_wire_read_uint(reader, BF_FRAME_BODY_BYTES_MAX)
+	    : frame->body_bytes;
 	age_us = read_frame_age(reader, frame);
 	if (reader->code != BF_OK)
 		return;
@@ -557,7 +569,6 @@
 	offer.objective_remaining_us -= age_us;
 	offer.head = &head;
 	offer.body = frame->body;
-	offer.body_bytes = frame->body_bytes;
 	bf_target_offer(inbound->mesh, inbound, &offer, now_us);
 }
 
@@ -571,7 +582,8 @@
 	    (uint64_t)offer->inner | (uint64_t)offer->repeatable << 1 |
 		(uint64_t)offer->refuse_if_late << 2 |
 		(uint64_t)offer->is_head << 3 | (uint64_t)offer->has_body << 4 |
-		(uint64_t)offer->is_retry << 5);
+		(uint64_t)offer->is_retry << 5 |
+		(uint64_t)offer->body_follows << 6);
 	bf_wire_write_uint(writer, offer->priority);
 	bf_wire_write_uint(writer,
 	    (uint64_t)(offer->remaining_us > 0 ? offer->remaining_us : 0));
@@ -581,6 +593,8 @@
 		    : 0));
 	bf_wire_write_bytes(
 	    writer, bf_bytes_data(offer->head), bf_bytes_count(offer->head));
+	if (offer->body_follows)
+		bf_wire_write_uint(writer, offer->body_bytes);
 	if (offer->has_reverse_transit)
 		bf_wire_write_uint(writer, (uint64_t)offer->reverse_transit_us);
 }
@@ -612,6 +626,9 @@
 		bf_target_cancel(mesh, inbound, frame->offer_id,
 		    now_us - read_frame_age(&reader, frame), now_us);
 		break;
+	case BF_FRAME_BODY:
+		bf_target_receive_body(mesh, inbound, frame, now_us);
+		break;
 	case BF_FRAME_CONFIG_GET:
 		bf_config_source_serve(mesh, link, &reader, now_us);
 		break;
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -49,10 +49,13 @@
 	char route[BF_NAME_BYTES];
 	bf_bytes_t head;
 	bf_bytes_t body;
+	bf_body_pull_t pull;
+	char target[BF_NAME_BYTES]; /* id of the target that it is for */
 	bool has_body;
 	bool repeatable;
 	bool is_retry;
 	bool dependency_busy; /* a call that its run made was refused as busy */
+	bool receiving;       /* its body, before it is queued */
 	bool waiting;
 	bool running;
 	bf_time_us_t arrived_us;
@@ -62,6 +65,7 @@
 };
 
 static void send_next(bf_mesh_t *mesh, bf_time_us_t now_us);
+static void request_bodies(bf_mesh_t *mesh, bf_time_us_t now_us);
 
 static uint32_t
 route_hash(const char *route)
@@ -113,7 +117,7 @@
 
 	return (bf_load_t){
 		.running = target->queue.running,
-		.waiting = target->queue.count,
+		.waiting = target->queue.count + target->pulls.count,
 		.slots =
 		    target->state == BF_TARGET_READY ? target->queue.slots : 0,
 		.mean_us = (uint32_t)target->queue.mean_run_us,
@@ -183,7 +187,8 @@
 uint32_t
 bf_target_call_count(const bf_mesh_t *mesh)
 {
-	return mesh->target.queue.running + mesh->target.queue.count;
+	return mesh->target.queue.running + mesh->target.queue.count +
+	    mesh->target.pulls.count;
 }
 
 static void
@@ -193,6 +198,8 @@
 	if (call->next != NULL)
 		call->next->previous = call->previous;
 	bf_loop_timer_cancel(call->mesh->loop, &call->timeout);
+	if (call->receiving)
+		bf_body_pulls_remove(&call->mesh->target.pulls, &call->pull);
 	bf_bytes_free(&call->head);
 	bf_bytes_free(&call->body);
 	bf_loop_defer_free(call->mesh->loop, call);
@@ -429,6 +436,7 @@
 {
 	bf_own_target_t *target = &mesh->target;
 	bf_queued_call_t *queued;
+	bf_body_pull_t *pull;
 
 	if (target->state == BF_TARGET_ABSENT)
 		return;
@@ -440,6 +448,9 @@
 		refuse((bf_target_call_t *)(void *)queued, BF_CAUSE_NO_TARGET,
 		    now_us);
 	}
+	while ((pull = TAILQ_FIRST(&target->pulls.list)) != NULL)
+		refuse(BF_CONTAINER(pull, bf_target_call_t, pull),
+		    BF_CAUSE_NO_TARGET, now_us);
 	bf_mesh_report_changes(mesh, now_us);
 }
 
@@ -496,7 +507,13 @@
 on_timeout(bf_timer_t *timer, bf_time_us_t now_us)
 {
 	bf_target_call_t *call = BF_CONTAINER(timer, bf_target_call_t, timeout);
+	bf_mesh_t *mesh = call->mesh;
 
+	if (call->receiving) {
+		refuse(call, BF_CAUSE_BUSY, now_us);
+		request_bodies(mesh, now_us);
+		return;
+	}
 	bf_http_cancel(&call->exchange);
 	fail_run(call, BF_CAUSE_TIMEOUT, now_us);
 }
@@ -553,11 +570,39 @@
 	while ((queued = bf_call_queue_take_expired(queue, now_us)) != NULL)
 		refuse(
 		    (bf_target_call_t *)(void *)queued, BF_CAUSE_BUSY, now_us);
-	if (queue->count > 0)
+	/* Bodies of entries that have stopped sending make room for others. */
+	request_bodies(mesh, now_us);
+	if (queue->count > 0 || mesh->target.pulls.count > 0)
 		bf_loop_timer_set(
 		    mesh->loop, timer, now_us + EXPIRY_INTERVAL_US);
 }
 
+static void
+start_expiry_timer(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (mesh->target.expiry_timer.heap_index == 0)
+		bf_loop_timer_set(mesh->loop, &mesh->target.expiry_timer,
+		    now_us + EXPIRY_INTERVAL_US);
+}
+
+/* Requests parts of bodies from their entries, as far as the link allows. */
+static void
+request_bodies(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_target_call_t *call;
+	bf_body_pull_t *pull;
+	size_t offset, bytes;
+
+	while ((pull = bf_body_pulls_next(
+		    &mesh->target.pulls, &offset, &bytes, now_us)) != NULL) {
+		call = BF_CONTAINER(pull, bf_target_call_t, pull);
+		bf_wire_write_uint(&mesh->writer, offset);
+		bf_wire_write_uint(&mesh->writer, bytes);
+		bf_mesh_link_send(&call->from->link, BF_FRAME_BODY_GET,
+		    call->offer_id, &mesh->writer, NULL, now_us);
+	}
+}
+
 static bf_target_call_t *
 new_call(bf_mesh_t *mesh, bf_inbound_t *from, const bf_offer_t *offer,
     bf_time_us_t now_us)
@@ -590,6 +635,8 @@
 	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
 	    offer->request_id);
 	(void)snprintf(call->route, sizeof(call->route), "%s", offer->route);
+	(void)snprintf(
+	    call->target, sizeof(call->target), "%s", offer->target_id);
 	list = from != NULL ? &from->calls : &mesh->target.local_calls;
 	call->next = *list;
 	if (call->next != NULL)
@@ -600,53 +647,141 @@
 }
 
 static bf_cause_t
-reason_to_refuse(const bf_mesh_t *mesh, const bf_offer_t *offer)
+reason_to_refuse(
+    const bf_mesh_t *mesh, const bf_target_call_t *call, bf_time_us_t now_us)
 {
 	const bf_own_target_t *target = &mesh->target;
 
 	if (target->state == BF_TARGET_ABSENT ||
-	    strcmp(target->heartbeat.id, offer->target_id) != 0)
+	    strcmp(target->heartbeat.id, call->target) != 0)
 		return BF_CAUSE_NO_TARGET;
 	if (target->state != BF_TARGET_READY)
 		return BF_CAUSE_DRAINING;
-	if (offer->remaining_us < BF_US_PER_MS)
+	if (call->queued.deadline_at_us - now_us < BF_US_PER_MS)
 		return BF_CAUSE_EXPIRED;
 	return BF_CAUSE_NONE;
 }
 
+/* Runs a call that is complete, queues it or refuses it. */
+static void
+admit(bf_target_call_t *call, bool refuse_if_late, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = call->mesh;
+
+	switch (bf_call_queue_admit(
+	    &mesh->target.queue, &call->queued, refuse_if_late, now_us)) {
+	case BF_QUEUE_DECISION_REFUSE:
+		refuse(call, BF_CAUSE_BUSY, now_us);
+		break;
+	case BF_QUEUE_DECISION_WAIT:
+		call->waiting = true;
+		start_expiry_timer(mesh, now_us);
+		break;
+	case BF_QUEUE_DECISION_START:
+		send_call(call, now_us);
+		break;
+	}
+}
+
+/*
+ * Requests the body of a call, or refuses the call at once if it would be too
+ * late when the body is there.
+ */
+static void
+receive_body(
+    bf_target_call_t *call, const bf_offer_t *offer, bf_time_us_t now_us)
+{
+	bf_body_pulls_t *pulls = &call->mesh->target.pulls;
+	bf_time_us_t complete_us, latest_start_us;
+
+	latest_start_us =
+	    (offer->refuse_if_late ? call->queued.objective_at_us
+				   : call->queued.deadline_at_us) -
+	    call->queued.expected_run_us;
+	complete_us = now_us +
+	    bf_body_pulls_expected_us(
+		pulls, call->queued.priority, offer->body_bytes);
+	if (complete_us > latest_start_us) {
+		refuse(call, BF_CAUSE_BUSY, now_us);
+		return;
+	}
+	call->receiving = true;
+	call->pull = (bf_body_pull_t){
+		.priority = call->queued.priority,
+		.link_mbps = call->from->peer != NULL
+		    ? call->from->peer->state.link_mbps
+		    : 0,
+		.total_bytes = offer->body_bytes,
+	};
+	bf_body_pulls_add(pulls, &call->pull, now_us);
+	bf_loop_timer_set(call->mesh->loop, &call->timeout,
+	    call->queued.deadline_at_us - call->queued.expected_run_us);
+	start_expiry_timer(call->mesh, now_us);
+	request_bodies(call->mesh, now_us);
+}
+
 void
 bf_target_offer(bf_mesh_t *mesh, bf_inbound_t *from, const bf_offer_t *offer,
     bf_time_us_t now_us)
 {
-	bf_cause_t cause = reason_to_refuse(mesh, offer);
 	bf_target_call_t *call;
+	bf_cause_t cause;
 
 	call = new_call(mesh, from, offer, now_us);
 	if (call == NULL)
 		return; /* out of memory: its entry ends it at the deadline */
+	cause = reason_to_refuse(mesh, call, now_us);
 	if (cause != BF_CAUSE_NONE) {
 		refuse(call, cause, now_us);
 		return;
 	}
-	switch (bf_call_queue_admit(&mesh->target.queue, &call->queued,
-	    offer->refuse_if_late, now_us)) {
-	case BF_QUEUE_DECISION_REFUSE:
-		refuse(call, BF_CAUSE_BUSY, now_us);
-		return;
-	case BF_QUEUE_DECISION_WAIT:
-		call->waiting = true;
-		break;
-	case BF_QUEUE_DECISION_START:
-		break;
-	}
 	bf_bytes_add(&call->head, bf_bytes_data(offer->head),
 	    bf_bytes_count(offer->head));
+	if (offer->body_follows) {
+		receive_body(call, offer, now_us);
+		return;
+	}
 	bf_bytes_add(&call->body, offer->body, offer->body_bytes);
-	if (!call->waiting)
-		send_call(call, now_us);
-	else if (mesh->target.expiry_timer.heap_index == 0)
-		bf_loop_timer_set(mesh->loop, &mesh->target.expiry_timer,
-		    now_us + EXPIRY_INTERVAL_US);
+	admit(call, offer->refuse_if_late, now_us);
+}
+
+static bf_target_call_t *
+find_call(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id)
+{
+	bf_target_call_t *call;
+
+	call = from != NULL ? from->calls : mesh->target.local_calls;
+	while (call != NULL && call->offer_id != offer_id)
+		call = call->next;
+	return call;
+}
+
+void
+bf_target_receive_body(bf_mesh_t *mesh, bf_inbound_t *from,
+    const bf_frame_t *frame, bf_time_us_t now_us)
+{
+	bf_target_call_t *call = find_call(mesh, from, frame->offer_id);
+	bf_body_pulls_t *pulls = &mesh->target.pulls;
+	bf_cause_t cause;
+
+	if (call == NULL || !call->receiving)
+		return; /* it was refused meanwhile */
+	bf_bytes_add(&call->body, frame->body, frame->body_bytes);
+	if (bf_body_pulls_received(
+		pulls, &call->pull, frame->body_bytes, now_us)) {
+		bf_body_pulls_remove(pulls, &call->pull);
+		call->receiving = false;
+		bf_loop_timer_cancel(mesh->loop, &call->timeout);
+		cause = reason_to_refuse(mesh, call, now_us);
+		if (call->body.failed)
+			cause = BF_CAUSE_MEMORY;
+		/* The body is here: this target is the best place now. */
+		if (cause == BF_CAUSE_NONE)
+			admit(call, false, now_us);
+		else
+			refuse(call, cause, now_us);
+	}
+	request_bodies(mesh, now_us);
 }
 
 /* Ends a call whose caller left at left_us. */
@@ -669,6 +804,11 @@
 		bf_metric_observe(
 		    mesh->metrics.left, "start", call->sent_us - left_us);
 	bf_metric_count(mesh->metrics.runs, "cancelled", 1);
+	if (call->receiving) {
+		free_call(call);
+		request_bodies(mesh, now_us);
+		return;
+	}
 	if (call->waiting) {
 		bf_call_queue_remove(&mesh->target.queue, &call->queued);
 		free_call(call);
@@ -684,11 +824,8 @@
 bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
     bf_time_us_t left_us, bf_time_us_t now_us)
 {
-	bf_target_call_t *call;
+	bf_target_call_t *call = find_call(mesh, from, offer_id);
 
-	call = from != NULL ? from->calls : mesh->target.local_calls;
-	while (call != NULL && call->offer_id != offer_id)
-		call = call->next;
 	if (call != NULL)
 		cancel_call(call, left_us, now_us);
 }
@@ -876,4 +1013,5 @@
 	target->client.idle_timeout_us = IDLE_US;
 	target->expiry_timer.fire = on_expiry;
 	bf_call_queue_init(&target->queue, 0);
+	bf_body_pulls_init(&target->pulls, mesh->options.link_mbps);
 }
--- a/tests/test_callers_leave.c
+++ b/tests/test_callers_leave.c
@@ -293,6 +293,11 @@
 		g_assert_true(run == NULL ||
 		    run->received_at_us - left_us < AFTER_LEAVING_US);
 	}
+	for (i = 0; i < fixture->targets[1].run_count; i++) {
+		if (fixture->targets[1].runs[i].id[0] == 'u')
+			g_assert_cmpuint(fixture->targets[1].runs[i].body_bytes,
+			    ==, UPLOAD_BYTES);
+	}
 	for (i = 0; i < ENTRIES * UPLOADS; i++)
 		bf_http_cancel(&uploads[i].exchange);
 	fixture_free(fixture);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -223,6 +223,69 @@
 	fixture_free(fixture);
 }
 
+/* A body that is too long to be sent with the offer arrives whole. */
+static void
+test_long_body(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+	test_call_t calls[4];
+	uint32_t i;
+
+	(void)fixture_heartbeat(fixture, 0, "v1", true);
+	fixture_run(fixture, SETTLE_US);
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		char id[24];
+
+		(void)snprintf(id, sizeof(id), "c%u", i);
+		fixture_send(fixture, &calls[i], 0, "POST", "/pay/x", id,
+		    TIMEOUT_MS, 300001);
+	}
+	g_assert_true(
+	    fixture_await(fixture, calls, G_N_ELEMENTS(calls), WAIT_US));
+	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
+		g_assert_cmpuint(calls[i].status, ==, 200);
+		bf_http_client_reset(&calls[i].client);
+	}
+	g_assert_cmpuint(fixture->targets[1].run_count, >, 0);
+	for (i = 0; i < fixture->targets[1].run_count; i++)
+		g_assert_cmpuint(
+		    fixture->targets[1].runs[i].body_bytes, ==, 300001);
+	fixture_free(fixture);
+}
+
+/*
+ * A node that is lost before it has all of a body has not run the call, which
+ * may then run at another one although it is not repeatable.
+ */
+static void
+test_lost_before_body(void)
+{
+	mesh_fixture_t *fixture = fixture_new_with_links(4, 1250000);
+	test_call_t call;
+
+	fixture_configure(fixture,
+	    "5\n"
+	    "/pay/ unsafe shop 4000 2000 2 1\n");
+	(void)fixture_heartbeat(fixture, 0, "v1", true);
+	(void)fixture_heartbeat(fixture, 2, "v1", true);
+	(void)fixture_heartbeat(fixture, 3, "v1", true);
+	fixture_run(fixture, SETTLE_US);
+	fixture_send(fixture, &call, 0, "POST", "/pay/x", "c1", 4000, 1000000);
+	fixture_run(fixture, 2 * SETTLE_US);
+	g_assert_cmpuint(bf_target_call_count(fixture->nodes[1]), ==, 1);
+	g_assert_cmpuint(fixture->targets[1].run_count, ==, 0);
+	fixture->targets[2].start_ms++;
+	fixture->targets[2].sequence = 0;
+	(void)fixture_heartbeat(fixture, 2, "v1", false);
+	fixture_run(fixture, SETTLE_US);
+	soak_proxy_reset(&fixture->links[1]);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpuint(fixture_count_runs(fixture, "c1"), ==, 1);
+	bf_http_client_reset(&call.client);
+	fixture_free(fixture);
+}
+
 /* A call that its caller cancels is cancelled at the target. */
 static void
 test_caller_leaves(void)
@@ -1124,6 +1187,8 @@
 	g_test_add_func("/mesh/extra-answer", test_extra_answer);
 	g_test_add_func("/mesh/unframed-answer", test_unframed_answer);
 	g_test_add_func("/mesh/silent-target", test_silent_target);
+	g_test_add_func("/mesh/long-body", test_long_body);
+	g_test_add_func("/mesh/lost-before-body", test_lost_before_body);
 	g_test_add_func("/mesh/caller-leaves", test_caller_leaves);
 	g_test_add_func("/mesh/never-overfilled", test_slots_never_exceeded);
 	g_test_add_func("/mesh/draining", test_draining);
