Send a long configuration to one requester at a time

A node now answers requests for the configuration in the order in which they came, and starts the next one when half of its link's rate has carried the one before; a request that has waited for 0.6 s is dropped, as the requester asks another node after 0.3 to 0.6 s. For 0.7 s a configuration is not requested from a node if another one that has it has a link over four times as wide.

Ruled out: sending configurations behind all other frames of a connection, since the queue is that of the node's link, which all its connections share.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -36,6 +36,15 @@
 #define RELAY_HANDOVER_US (2 * BF_US_PER_S)
 /* Most nodes of a zone compared; in a larger zone more may become relays. */
 #define CANDIDATES_MAX 512
+/*
+ * Share of the link that configurations may take.  All nodes of a zone may
+ * request one at once, and the calls of this node share its link with them.
+ */
+#define LINK_SHARE 0.5
+#define LINK_MBPS_DEFAULT 1000
+#define BITS_PER_BYTE 8
+/* A node that waits longer has requested the configuration from another one. */
+#define WANTED_MAX_US (600 * BF_US_PER_MS)
 /* Longest configuration, somewhat above the longest value of the store. */
 #define CONFIG_BYTES_MAX ((size_t)4 << 20)
 
@@ -79,9 +88,9 @@
 
 /*
  * Sends the configuration, as a delta if base_digest, the digest of the one
- * that the peer has, is that of the previous one.
+ * that the peer has, is that of the previous one.  Returns the bytes sent.
  */
-static void
+static size_t
 send_config(bf_mesh_t *mesh, bf_mesh_link_t *link, bf_digest_t base_digest,
     bf_time_us_t now_us)
 {
@@ -98,16 +107,70 @@
 	bf_wire_write_digest(&mesh->writer, base_digest);
 	bf_mesh_link_send(link, BF_FRAME_CONFIG, 0, &mesh->writer,
 	    as_delta ? &mesh->config_delta : &mesh->config, now_us);
+	return bf_bytes_count(as_delta ? &mesh->config_delta : &mesh->config);
+}
+
+/* The node that has waited longest for the configuration; NULL: none. */
+static bf_inbound_t *
+next_wanted(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_inbound_t *inbound, *first = NULL;
+
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		if (now_us - inbound->config_wanted_since_us > WANTED_MAX_US)
+			inbound->config_wanted_since_us = 0;
+		if (inbound->config_wanted_since_us != 0 &&
+		    (first == NULL ||
+			inbound->config_wanted_since_us <
+			    first->config_wanted_since_us))
+			first = inbound;
+	}
+	return first;
+}
+
+static void
+send_wanted(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	uint32_t link_mbps = mesh->options.link_mbps != 0
+	    ? mesh->options.link_mbps
+	    : LINK_MBPS_DEFAULT;
+	bf_inbound_t *inbound;
+	size_t bytes;
+
+	while ((inbound = next_wanted(mesh, now_us)) != NULL) {
+		if (now_us < mesh->config_send_after_us) {
+			bf_loop_timer_set(mesh->loop, &mesh->config_send_timer,
+			    mesh->config_send_after_us);
+			return;
+		}
+		inbound->config_wanted_since_us = 0;
+		bytes = send_config(
+		    mesh, &inbound->link, inbound->config_wanted_base, now_us);
+		mesh->config_send_after_us = now_us +
+		    (bf_time_us_t)((double)(bytes * BITS_PER_BYTE) /
+			(link_mbps * LINK_SHARE));
+	}
+}
+
+static void
+on_send_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	send_wanted(BF_CONTAINER(timer, bf_mesh_t, config_send_timer), now_us);
 }
 
 void
-bf_config_source_serve(bf_mesh_t *mesh, bf_mesh_link_t *link,
-    bf_wire_reader_t *reader, bf_time_us_t now_us)
+bf_config_source_serve(
+    bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us)
 {
 	bf_digest_t base_digest = bf_wire_read_digest(reader);
 
-	if (reader->code == BF_OK && mesh->routing != NULL)
-		send_config(mesh, link, base_digest, now_us);
+	if (reader->code != BF_OK || inbound->mesh->routing == NULL)
+		return;
+	inbound->config_wanted_base = base_digest;
+	if (inbound->config_wanted_since_us == 0)
+		inbound->config_wanted_since_us = now_us;
+	send_wanted(inbound->mesh, now_us);
 }
 
 void
@@ -171,7 +234,7 @@
 		    held_version != mesh->config_before_version)
 			continue;
 		peer->config_sent_version = version;
-		send_config(
+		(void)send_config(
 		    mesh, &inbound->link, mesh->config_before_digest, now_us);
 	}
 }
@@ -430,6 +493,7 @@
 	mesh->start_us = now_us;
 	mesh->outcomes_call.done = on_outcomes;
 	mesh->outcomes_timer.fire = on_outcomes_timer;
+	mesh->config_send_timer.fire = on_send_timer;
 	mesh->move_orders = (bf_kv_watcher_t){
 		.vtable = &orders_vtable,
 		.kv = mesh->kv,
@@ -445,6 +509,7 @@
 bf_config_source_stop(bf_mesh_t *mesh)
 {
 	end_relay(mesh);
+	bf_loop_timer_cancel(mesh->loop, &mesh->config_send_timer);
 	if (mesh->move_orders.vtable != NULL)
 		bf_kv_watcher_stop(&mesh->move_orders);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -114,6 +114,9 @@
 	struct bf_inbound *next;
 	struct bf_inbound **previous;
 	bf_target_call_t *calls; /* received on this connection */
+	/* Since when the configuration is to be sent; 0: it is not. */
+	bf_time_us_t config_wanted_since_us;
+	bf_digest_t config_wanted_base; /* the one that the peer has */
 } bf_inbound_t;
 
 typedef enum bf_call_result {
@@ -347,6 +350,8 @@
 	bf_bytes_t config_delta; /* from config_before; empty: not computed */
 	bf_time_us_t config_applied_us;
 	bf_time_us_t config_request_after_us; /* earliest next request */
+	bf_time_us_t config_send_after_us;    /* earliest next long one */
+	bf_timer_t config_send_timer;
 
 	/* Nodes. */
 	bf_peer_t *peers; /* includes this node */
@@ -474,9 +479,12 @@
     const char *from, bf_time_us_t now_us);
 /* Requests the peer's configuration. */
 void bf_config_source_request(bf_peer_t *peer, bf_time_us_t now_us);
-/* Answers a request for the configuration. */
-void bf_config_source_serve(bf_mesh_t *mesh, bf_mesh_link_t *link,
-    bf_wire_reader_t *reader, bf_time_us_t now_us);
+/*
+ * Answers a request for the configuration, after those that came before if
+ * these take the link some time.
+ */
+void bf_config_source_serve(
+    bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us);
 /* Receives a peer's configuration, complete or as a delta. */
 void bf_config_source_receive(bf_peer_t *peer, const bf_frame_t *frame,
     bf_wire_reader_t *reader, bf_time_us_t now_us);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -32,6 +32,8 @@
  */
 #define CONFIG_REQUEST_DELAY_US (500 * BF_US_PER_MS)
 #define CONFIG_REQUEST_DELAY_OTHER_ZONES_US (1200 * BF_US_PER_MS)
+/* So long it is requested only from nodes whose links are not the thinnest. */
+#define WIDE_LINKS_ONLY_US (700 * BF_US_PER_MS)
 /* The next request follows after one to two times this. */
 #define CONFIG_RETRY_US (300 * BF_US_PER_MS)
 /*
@@ -83,6 +85,25 @@
 	return true;
 }
 
+/*
+ * Whether another node that can send the same configuration has a much wider
+ * link.
+ */
+static bool
+has_thin_link(const bf_peer_t *peer)
+{
+	const bf_peer_t *other;
+
+	for (other = peer->mesh->peers; other != NULL; other = other->next) {
+		if (!other->self && bf_roster_is_live(other) &&
+		    (other->in_own_zone || !peer->in_own_zone) &&
+		    other->state.config_version >= peer->state.config_version &&
+		    other->state.link_mbps / 4 > peer->state.link_mbps)
+			return true;
+	}
+	return false;
+}
+
 /*
  * Requests a newer configuration that a peer reports, in case the store does
  * not deliver it.  It is requested from one peer at a time, as a configuration
@@ -120,6 +141,9 @@
 	if (now_us < mesh->config_request_after_us ||
 	    (mesh->routing != NULL && now_us - since_us < delay_us))
 		return;
+	if (now_us - since_us < delay_us + WIDE_LINKS_ONLY_US &&
+	    has_thin_link(peer))
+		return;
 	mesh->config_request_after_us = now_us + CONFIG_RETRY_US +
 	    (bf_time_us_t)(bf_random_next(&mesh->random) % CONFIG_RETRY_US);
 	bf_config_source_request(peer, now_us);
@@ -630,7 +654,7 @@
 		bf_target_receive_body(mesh, inbound, frame, now_us);
 		break;
 	case BF_FRAME_CONFIG_GET:
-		bf_config_source_serve(mesh, link, &reader, now_us);
+		bf_config_source_serve(inbound, &reader, now_us);
 		break;
 	case BF_FRAME_MOVE:
 		if (inbound->peer != NULL)
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -286,6 +286,49 @@
 	fixture_free(fixture);
 }
 
+/*
+ * Five nodes request a long configuration at once over a thin link: answers to
+ * calls do not wait until all of them have it.
+ */
+static void
+test_long_configuration(void)
+{
+	mesh_fixture_t *fixture = fixture_new_with_links(6, 1250000);
+	GString *text = g_string_new(CONFIG);
+	test_call_t calls[5];
+	uint32_t i;
+
+	fixture_configure(fixture, CONFIG);
+	for (i = 1; i < 6; i++)
+		(void)fixture_heartbeat(fixture, i, "v1", true);
+	fixture_run(fixture, SETTLE_US);
+	text->str[0] = '6';
+	while (text->len < 200000)
+		g_string_append(text, "a line that defines no route\n");
+	bf_config_source_apply(fixture->nodes[0], text->str, text->len, "test",
+	    bf_clock_monotonic_us());
+	for (i = 1; i < 6; i++)
+		bf_config_source_request(
+		    bf_roster_find(fixture->nodes[i], "n0"),
+		    bf_clock_monotonic_us());
+	fixture_run(fixture, 20 * BF_US_PER_MS);
+	for (i = 1; i < 6; i++)
+		fixture_send(fixture, &calls[i - 1], i, "GET", "/read/x", "c",
+		    TIMEOUT_MS, 0);
+	g_assert_true(fixture_await(fixture, calls, 5, WAIT_US));
+	for (i = 0; i < 5; i++) {
+		g_assert_cmpuint(calls[i].status, ==, 200);
+		g_assert_cmpint(calls[i].took_us, <, 500 * BF_US_PER_MS);
+		bf_http_client_reset(&calls[i].client);
+	}
+	fixture_run(fixture, 2 * BF_US_PER_S);
+	for (i = 1; i < 6; i++)
+		g_assert_cmpuint(
+		    bf_routing_version(fixture->nodes[i]->routing), ==, 6);
+	g_string_free(text, TRUE);
+	fixture_free(fixture);
+}
+
 /* A call that its caller cancels is cancelled at the target. */
 static void
 test_caller_leaves(void)
@@ -1188,6 +1231,7 @@
 	g_test_add_func("/mesh/unframed-answer", test_unframed_answer);
 	g_test_add_func("/mesh/silent-target", test_silent_target);
 	g_test_add_func("/mesh/long-body", test_long_body);
+	g_test_add_func("/mesh/long-configuration", test_long_configuration);
 	g_test_add_func("/mesh/lost-before-body", test_lost_before_body);
 	g_test_add_func("/mesh/caller-leaves", test_caller_leaves);
 	g_test_add_func("/mesh/never-overfilled", test_slots_never_exceeded);
