Refuse offers that were long under way, and confirm calls that waited

Nothing bounded how old the knowledge may be on which a target's node starts a call.

- An offer that was sent over 0.4 s ago is refused as not run.
Its entry knows whether the caller is still there, and offers it again.
- A call that has waited for a slot is started only if an offer, a cancellation or a probe that its entry sent in the last 0.3 s has arrived.
Otherwise the node probes the entry and starts the call when the answer comes, some milliseconds later; without one it refuses the call after 0.25 s.
So a cut or a busy entry costs a slot 0.25 s, not a run for nobody.

Ruled out: probing all entries of waiting calls all the time, which costs frames for each waiting call; starting the call and cancelling it later, which is what callers complained of.

test_callers_leave: late-offer and waiting-call-cut-off failed before and pass now; waiting-call shows that the probe lets the call run.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -450,7 +450,7 @@
 		return;
 	}
 	offer.target_id = peer->state.target;
-	offer.body_follows = peer->state.pulls_bodies &&
+	offer.body_follows = peer->state.protocol >= BF_PROTOCOL_1 &&
 	    offer.body_bytes > BODY_INLINE_BYTES_MAX;
 	call->body_follows = offer.body_follows;
 	call->body_sent_bytes = 0;
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -46,6 +46,12 @@
 	uint32_t failing_ppm; /* share of recent runs that failed */
 } bf_load_t;
 
+/*
+ * Version 1 of the frames: BODY_GET and BODY, and PROBE from the node beside a
+ * target to an entry.
+ */
+#define BF_PROTOCOL_1 1
+
 /* State of a node and its target, as reported to the other nodes. */
 typedef struct bf_node_state {
 	char instance[BF_NAME_BYTES];
@@ -60,8 +66,8 @@
 	uint32_t link_mbps;
 	uint64_t config_version; /* in force; 0: none */
 	bf_load_t load;
-	/* It requests large bodies in parts; nodes of before 0.2 do not. */
-	bool pulls_bodies;
+	/* Which frames it understands; 0: those of before BF_PROTOCOL_1. */
+	uint32_t protocol;
 } bf_node_state_t;
 
 /* Another node, or this node itself (self). */
@@ -117,6 +123,9 @@
 	/* Since when the configuration is to be sent; 0: it is not. */
 	bf_time_us_t config_wanted_since_us;
 	bf_digest_t config_wanted_base; /* the one that the peer has */
+	/* When the newest offer, cancellation or probe was sent; this clock. */
+	bf_time_us_t heard_us;
+	bf_time_us_t probed_us; /* last probe sent to the peer */
 } bf_inbound_t;
 
 typedef enum bf_call_result {
@@ -186,6 +195,7 @@
 	 */
 	bf_time_us_t reverse_transit_us;
 	bool has_reverse_transit;
+	bf_time_us_t age_us;    /* since it was sent; not sent */
 	const bf_bytes_t *head; /* request line and fields, no empty line */
 	const void *body;
 	size_t body_bytes;
@@ -550,6 +560,8 @@
 /* left_us: when the caller left, as far as it is known. */
 void bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
     bf_time_us_t left_us, bf_time_us_t now_us);
+/* Starts calls that waited for a sign of their entry; see inbound->heard_us. */
+void bf_target_heard(bf_inbound_t *from, bf_time_us_t now_us);
 /* Receives a part of the body of an offered call. */
 void bf_target_receive_body(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_frame_t *frame, bf_time_us_t now_us);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -217,6 +217,18 @@
 	bf_wire_write_text(writer, reply->fields != NULL ? reply->fields : "");
 }
 
+/* Shows the peer that all cancellations sent before have arrived. */
+static void
+send_probe(const bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bf_wire_writer_t *writer = &peer->mesh->writer;
+	bf_time_us_t transit_us;
+
+	if (bf_mesh_link_min_transit(peer->link, &transit_us))
+		bf_wire_write_uint(writer, (uint64_t)transit_us);
+	bf_mesh_link_send(peer->link, BF_FRAME_PROBE, 0, writer, NULL, now_us);
+}
+
 /* Counts the delay of a received frame, and logs a long one. */
 static void
 record_frame_delay(bf_mesh_t *mesh, const bf_peer_t *peer,
@@ -279,6 +291,9 @@
 	case BF_FRAME_MOVE:
 		bf_movement_receive(peer->mesh, peer, &reader, now_us);
 		break;
+	case BF_FRAME_PROBE:
+		send_probe(peer, now_us);
+		break;
 	case BF_FRAME_BODY_GET:
 		offset = bf_wire_read_uint(&reader, SIZE_MAX);
 		bytes = bf_wire_read_uint(&reader, SIZE_MAX);
@@ -549,6 +564,13 @@
 						 : frame->queueing_delay_us;
 }
 
+static void
+record_heard(bf_inbound_t *inbound, bf_time_us_t age_us, bf_time_us_t now_us)
+{
+	if (now_us - age_us > inbound->heard_us)
+		inbound->heard_us = now_us - age_us;
+}
+
 static void
 handle_offer(bf_inbound_t *inbound, const bf_frame_t *frame,
     bf_wire_reader_t *reader, bf_time_us_t now_us)
@@ -588,6 +610,8 @@
 	offer.is_head = (flags & 8) != 0;
 	offer.has_body = (flags & 16) != 0;
 	offer.is_retry = (flags & 32) != 0;
+	record_heard(inbound, age_us, now_us);
+	offer.age_us = age_us;
 	/* A frame delayed by the network has less time left than it states. */
 	offer.remaining_us -= age_us;
 	offer.objective_remaining_us -= age_us;
@@ -631,12 +655,14 @@
 	bf_inbound_t *inbound = (bf_inbound_t *)(void *)link;
 	bf_mesh_t *mesh = inbound->mesh;
 	bf_wire_reader_t reader;
+	bf_time_us_t age_us;
 	bf_load_t load;
 
 	record_frame_delay(mesh, inbound->peer, frame, now_us);
 	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_PROBE:
+		record_heard(inbound, read_frame_age(&reader, frame), now_us);
 		load = bf_target_load(mesh, now_us);
 		bf_load_send(mesh, link, &load, now_us);
 		break;
@@ -647,8 +673,10 @@
 		handle_offer(inbound, frame, &reader, now_us);
 		break;
 	case BF_FRAME_CANCEL:
-		bf_target_cancel(mesh, inbound, frame->offer_id,
-		    now_us - read_frame_age(&reader, frame), now_us);
+		age_us = read_frame_age(&reader, frame);
+		record_heard(inbound, age_us, now_us);
+		bf_target_cancel(
+		    mesh, inbound, frame->offer_id, now_us - age_us, now_us);
 		break;
 	case BF_FRAME_BODY:
 		bf_target_receive_body(mesh, inbound, frame, now_us);
@@ -664,6 +692,8 @@
 	default:
 		break; /* a frame of a later protocol version */
 	}
+	if (bf_tcp_is_open(&link->tcp))
+		bf_target_heard(inbound, now_us);
 }
 
 static void
@@ -712,8 +742,7 @@
 		return;
 	if (peer->probe_sent_us == 0) {
 		peer->probe_sent_us = now_us;
-		bf_mesh_link_send(
-		    peer->link, BF_FRAME_PROBE, 0, NULL, NULL, now_us);
+		send_probe(peer, now_us);
 	}
 }
 
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -59,7 +59,7 @@
 		    ? bf_routing_version(mesh->routing)
 		    : 0,
 		.load = bf_target_load(mesh, now_us),
-		.pulls_bodies = true,
+		.protocol = BF_PROTOCOL_1,
 	};
 
 	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
@@ -84,7 +84,7 @@
 	bf_wire_write_uint(writer, state->link_mbps);
 	bf_wire_write_uint(writer, state->config_version);
 	bf_wire_write_load(writer, &state->load);
-	bf_wire_write_uint(writer, state->pulls_bodies);
+	bf_wire_write_uint(writer, state->protocol);
 }
 
 void
@@ -104,7 +104,8 @@
 	state->config_version = bf_wire_read_uint(reader, UINT64_MAX);
 	bf_wire_read_load(reader, &state->load);
 	if (!bf_wire_reader_done(reader))
-		state->pulls_bodies = bf_wire_read_uint(reader, 1) != 0;
+		state->protocol =
+		    (uint32_t)bf_wire_read_uint(reader, UINT32_MAX);
 }
 
 void
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -28,6 +28,19 @@
  * whose heartbeat arrives within this time.
  */
 #define DEPARTED_MATCH_US (8 * BF_US_PER_S)
+/*
+ * An offer that is older is refused: its caller may have left since, and the
+ * entry, which knows, can offer the call again.
+ */
+#define OFFER_AGE_MAX_US (400 * BF_US_PER_MS)
+/*
+ * A call that has waited is started only if its entry was heard of in the last
+ * HEARD_MAX_US, as a cancellation may be delayed.  Otherwise the entry is
+ * probed and the call is refused after CONFIRM_TIMEOUT_US without an answer.
+ */
+#define HEARD_MAX_US (300 * BF_US_PER_MS)
+#define CONFIRM_TIMEOUT_US (250 * BF_US_PER_MS)
+#define PROBE_INTERVAL_US (100 * BF_US_PER_MS)
 /* Interval at which waiting calls are checked for expiry. */
 #define EXPIRY_INTERVAL_US (10 * BF_US_PER_MS)
 /* Weight of the newest run in the moving averages. */
@@ -57,6 +70,7 @@
 	bool dependency_busy; /* a call that its run made was refused as busy */
 	bool receiving;       /* its body, before it is queued */
 	bool waiting;
+	bool confirming; /* has a slot, but its entry was not heard of */
 	bool running;
 	bf_time_us_t arrived_us;
 	bf_time_us_t sent_us;
@@ -514,6 +528,10 @@
 		request_bodies(mesh, now_us);
 		return;
 	}
+	if (call->confirming) {
+		return_not_run(call, BF_CAUSE_BUSY, now_us);
+		return;
+	}
 	bf_http_cancel(&call->exchange);
 	fail_run(call, BF_CAUSE_TIMEOUT, now_us);
 }
@@ -526,6 +544,7 @@
 	bf_time_us_t remaining_us = call->queued.deadline_at_us - now_us;
 
 	call->waiting = false;
+	call->confirming = false;
 	call->running = true;
 	call->sent_us = now_us;
 	if (remaining_us < BF_US_PER_MS) {
@@ -549,15 +568,63 @@
 	    call->queued.deadline_at_us + ANSWER_GRACE_US);
 }
 
+/* Whether a cancellation of the call may be under way for long. */
+static bool
+needs_confirmation(const bf_target_call_t *call, bf_time_us_t now_us)
+{
+	const bf_inbound_t *from = call->from;
+
+	return from != NULL && from->peer != NULL &&
+	    from->peer->state.protocol >= BF_PROTOCOL_1 &&
+	    now_us - from->heard_us > HEARD_MAX_US;
+}
+
+/* Keeps the call's slot until its entry is heard of, for a short time. */
+static void
+confirm(bf_target_call_t *call, bf_time_us_t now_us)
+{
+	bf_inbound_t *from = call->from;
+
+	call->waiting = false;
+	call->confirming = true;
+	bf_loop_timer_set(
+	    call->mesh->loop, &call->timeout, now_us + CONFIRM_TIMEOUT_US);
+	if (now_us - from->probed_us < PROBE_INTERVAL_US)
+		return;
+	from->probed_us = now_us;
+	bf_mesh_link_send(&from->link, BF_FRAME_PROBE, 0, NULL, NULL, now_us);
+}
+
 /* Sends the next waiting call if a slot is free. */
 static void
 send_next(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_queued_call_t *queued;
+	bf_target_call_t *call;
 
 	queued = bf_call_queue_start_next(&mesh->target.queue, now_us);
-	if (queued != NULL)
-		send_call((bf_target_call_t *)(void *)queued, now_us);
+	if (queued == NULL)
+		return;
+	call = (bf_target_call_t *)(void *)queued;
+	if (needs_confirmation(call, now_us))
+		confirm(call, now_us);
+	else
+		send_call(call, now_us);
+}
+
+void
+bf_target_heard(bf_inbound_t *from, bf_time_us_t now_us)
+{
+	bf_target_call_t *call = from->calls;
+
+	while (call != NULL) {
+		if (!call->confirming || needs_confirmation(call, now_us)) {
+			call = call->next;
+			continue;
+		}
+		send_call(call, now_us);
+		call = from->calls; /* the call may be freed */
+	}
 }
 
 static void
@@ -731,6 +798,8 @@
 	if (call == NULL)
 		return; /* out of memory: its entry ends it at the deadline */
 	cause = reason_to_refuse(mesh, call, now_us);
+	if (cause == BF_CAUSE_NONE && offer->age_us > OFFER_AGE_MAX_US)
+		cause = BF_CAUSE_BUSY;
 	if (cause != BF_CAUSE_NONE) {
 		refuse(call, cause, now_us);
 		return;
--- a/tests/test_callers_leave.c
+++ b/tests/test_callers_leave.c
@@ -384,6 +384,93 @@
 	fixture_free(fixture);
 }
 
+/* An offer that has waited for its link is refused, with time left as well. */
+static void
+test_late_offer(void)
+{
+	mesh_fixture_t *fixture = new_configured(1, 0);
+	bf_time_us_t now_us = bf_clock_monotonic_us();
+	struct sockaddr_in address = callers_address(fixture, 0);
+	bf_mesh_link_t link = { 0 };
+
+	address.sin_port =
+	    htons(bf_listener_port(&fixture->nodes[0]->peer_listener));
+	g_assert_cmpint(bf_mesh_link_dial(&link, &entry_vtable, fixture->loop,
+			    &address, now_us, NULL),
+	    ==, BF_OK);
+	offer(
+	    fixture, &link, "late", 3 * BF_US_PER_S, now_us - AFTER_LEAVING_US);
+	offer(fixture, &link, "early", 3 * BF_US_PER_S, now_us);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_null(find_run(fixture, "late"));
+	g_assert_nonnull(find_run(fixture, "early"));
+	bf_mesh_link_close(&link);
+	fixture_free(fixture);
+}
+
+/* Fills the slots of node 1 from node 0, and lets one more call wait there. */
+static mesh_fixture_t *
+new_with_waiting_call(test_call_t *calls, test_call_t *waiting)
+{
+	mesh_fixture_t *fixture =
+	    fixture_new_with_links(2, THIN_LINK_BYTES_PER_S);
+	char id[24];
+	uint32_t i;
+
+	fixture_configure(fixture,
+	    "5\n"
+	    "/read/ safe shop 4000 3000 2 2\n");
+	drain_all_but(fixture, 1);
+	fixture->targets[1].delay_us = BF_US_PER_S;
+	for (i = 0; i < TARGET_SLOTS; i++) {
+		(void)snprintf(id, sizeof(id), "c%u", i);
+		fixture_send(
+		    fixture, &calls[i], 0, "GET", "/read/x", id, TIMEOUT_MS, 0);
+	}
+	fixture_run(fixture, SETTLE_US);
+	fixture_send(fixture, waiting, 0, "GET", "/read/x", "w", TIMEOUT_MS, 0);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpuint(fixture->nodes[1]->target.queue.count, ==, 1);
+	return fixture;
+}
+
+/* The cancellation of a waiting call is held up on its way. */
+static void
+test_waiting_call_cut_off(void)
+{
+	test_call_t calls[TARGET_SLOTS], waiting;
+	mesh_fixture_t *fixture = new_with_waiting_call(calls, &waiting);
+	uint32_t i;
+
+	fixture->links[1].cut[SOAK_SIDE_CLIENT] = true;
+	bf_http_cancel(&waiting.exchange);
+	g_assert_true(
+	    fixture_await(fixture, calls, TARGET_SLOTS, 2 * BF_US_PER_S));
+	fixture_run(fixture, BF_US_PER_S);
+	g_assert_null(find_run(fixture, "w"));
+	g_assert_cmpuint(bf_target_call_count(fixture->nodes[1]), ==, 0);
+	for (i = 0; i < TARGET_SLOTS; i++)
+		bf_http_client_reset(&calls[i].client);
+	fixture_free(fixture);
+}
+
+/* A call that has waited is run after its entry has answered a probe. */
+static void
+test_waiting_call(void)
+{
+	test_call_t calls[TARGET_SLOTS], waiting;
+	mesh_fixture_t *fixture = new_with_waiting_call(calls, &waiting);
+	uint32_t i;
+
+	g_assert_true(fixture_await(fixture, &waiting, 1, 3 * BF_US_PER_S));
+	g_assert_cmpuint(waiting.status, ==, 200);
+	g_assert_cmpuint(fixture_count_runs(fixture, "w"), ==, 1);
+	bf_http_client_reset(&waiting.client);
+	for (i = 0; i < TARGET_SLOTS; i++)
+		bf_http_client_reset(&calls[i].client);
+	fixture_free(fixture);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -401,6 +488,10 @@
 	g_test_add_func("/callers-leave/full-link", test_full_link);
 	g_test_add_func(
 	    "/callers-leave/full-link-for-seconds", test_full_link_for_seconds);
+	g_test_add_func("/callers-leave/late-offer", test_late_offer);
+	g_test_add_func(
+	    "/callers-leave/waiting-call-cut-off", test_waiting_call_cut_off);
+	g_test_add_func("/callers-leave/waiting-call", test_waiting_call);
 	failed = g_test_run();
 	apr_terminate();
 	return failed;
