--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -110,6 +110,16 @@
 	return bf_bytes_count(as_delta ? &mesh->config_delta : &mesh->config);
 }
 
+/* Whether a node that was to be sent the configuration needs it no more. */
+static bool
+is_served(const bf_inbound_t *inbound, bf_time_us_t now_us)
+{
+	return now_us - inbound->config_wanted_since_us > WANTED_MAX_US ||
+	    (inbound->peer != NULL &&
+		inbound->peer->state.config_version >=
+		    bf_routing_version(inbound->mesh->routing));
+}
+
 /* The node that has waited longest for the configuration; NULL: none. */
 static bf_inbound_t *
 next_wanted(bf_mesh_t *mesh, bf_time_us_t now_us)
@@ -118,17 +128,22 @@
 
 	for (inbound = mesh->inbound; inbound != NULL;
 	     inbound = inbound->next) {
-		if (now_us - inbound->config_wanted_since_us > WANTED_MAX_US)
+		if (inbound->config_wanted_since_us == 0)
+			continue;
+		if (is_served(inbound, now_us))
 			inbound->config_wanted_since_us = 0;
-		if (inbound->config_wanted_since_us != 0 &&
-		    (first == NULL ||
-			inbound->config_wanted_since_us <
-			    first->config_wanted_since_us))
+		else if (first == NULL ||
+		    inbound->config_wanted_since_us <
+			first->config_wanted_since_us)
 			first = inbound;
 	}
 	return first;
 }
 
+/*
+ * Sends the configuration to the nodes that wait for it, one at a time.  A
+ * short one takes the link no time worth waiting for.
+ */
 static void
 send_wanted(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
@@ -234,9 +249,13 @@
 		    held_version != mesh->config_before_version)
 			continue;
 		peer->config_sent_version = version;
-		(void)send_config(
-		    mesh, &inbound->link, mesh->config_before_digest, now_us);
+		/* One that still waits has an older base. */
+		if (inbound->config_wanted_since_us != 0)
+			continue;
+		inbound->config_wanted_base = mesh->config_before_digest;
+		inbound->config_wanted_since_us = now_us;
 	}
+	send_wanted(mesh, now_us);
 }
 
 void
