Do not take an unattributed refusal, or a bare 503, for "not run"

Reported from other systems: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told "not run, try again" of calls that it had run. Here such a copy with the id of the earlier call was recognized; one without an id was taken for the answer to the current call and passed on as 503. Likewise, a 408, 421, 429 or 503 that the target answers without saying that it has not run the call went to the caller of a call that must run at most once; callers take these for a promise.

A failure without an id now counts as an answer only on a connection that has had no other request. A status that promises "not run", without the target's own word for it, ends a call that is not repeatable with 502. Ruled out: dropping the connection after each refusal, which costs a new connection for every full target, and does not help with a bare 503.

test_mesh: repeated-refusal (without an id) and busy-after-run failed before and pass now. cut-head, for the second report (an answer that stops within its head and is passed on as a whole one), passed before: the parser takes an end within the head for a failure.

--- a/http/client.c
+++ b/http/client.c
@@ -16,6 +16,8 @@
 	bf_time_us_t now_us;
 	bf_time_us_t idle_since_us;
 	bf_time_us_t keep_alive_us; /* keep-alive time of the server */
+	uint64_t held_bytes;        /* of the response that is being received */
+	bool is_used;               /* an exchange has begun on it */
 	bool is_idle;
 };
 
@@ -233,6 +235,8 @@
 	conn->reader.response_to_head = exchange->is_head_request;
 	conn->exchange = exchange;
 	exchange->conn = conn;
+	exchange->on_used_conn = conn->is_used;
+	conn->is_used = true;
 	bf_bytes_add(&conn->tcp.out, bf_bytes_data(head), bf_bytes_count(head));
 	if (body != NULL)
 		bf_bytes_add(
--- a/http/client.h
+++ b/http/client.h
@@ -27,6 +27,7 @@
 	    bf_http_message_t *message, bf_time_us_t now_us);
 	bf_http_client_conn_t *conn; /* NULL: not in progress */
 	bool is_head_request; /* a HEAD request: its response has no body */
+	bool on_used_conn; /* other exchanges were on its connection before */
 };
 
 struct bf_http_client {
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -429,7 +429,11 @@
 	send_next(mesh, now_us);
 }
 
-/* Whether the message answers this call, not another request. */
+/*
+ * Whether the message answers this call, not another request.  A failure that
+ * does not say which request it answers may be an earlier one, sent once more,
+ * if the connection has had other requests.
+ */
 static bool
 is_answer_to(const bf_target_call_t *call, const bf_http_message_t *message)
 {
@@ -438,7 +442,17 @@
 	id = bf_http_find(message, call->mesh->dialect->request_id);
 	if (id != NULL)
 		return strcmp(id, call->request_id) == 0;
-	return message->status >= 400;
+	return message->status >= 400 && !call->exchange.on_used_conn;
+}
+
+/*
+ * Whether callers take the status for a promise that the call has not run and
+ * will not run.
+ */
+static bool
+promises_not_run(uint32_t status)
+{
+	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
 /*
@@ -485,6 +499,9 @@
 	} else if (message->status == 421) {
 		return_not_run(call, BF_CAUSE_NO_TARGET, now_us);
 		mark_target_absent(mesh, "another one has its address", now_us);
+	} else if (!call->repeatable && promises_not_run(message->status)) {
+		/* The target does not say so: the call may have run. */
+		fail_run(call, BF_CAUSE_BAD_ANSWER, now_us);
 	} else {
 		forward_answer(call, message, now_us);
 	}
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -11,6 +11,7 @@
 #include "tests/mesh_fixture.h"
 
 #define STORE_DELAY_US 500
+#define ENDLESS_UNSENT_MAX ((size_t)1 << 20)
 #define SETTLE_US (150 * BF_US_PER_MS)
 /* Well below the 2 s within which a change must be in force. */
 #define CONFIG_SETTLE_US (700 * BF_US_PER_MS)
@@ -389,6 +390,8 @@
 	bf_http_message_t *message;
 	target_run_t *run;
 	bf_timer_t timer;
+	char refused_id[BF_REQUEST_ID_BYTES]; /* of the request rejected */
+	bool endless_begun;
 	bool dropped;
 } target_connection_t;
 
@@ -424,6 +427,48 @@
 	bf_tcp_schedule_flush(&connection->tcp);
 }
 
+/* Sends more of an answer that does not end. */
+static void
+send_endless(target_connection_t *connection, bf_time_us_t now_us)
+{
+	const char *id = bf_http_find(connection->message, "Call-Id");
+	fake_target_t *target = connection->target;
+	bf_bytes_t *out = &connection->tcp.out;
+	size_t begin_bytes, i;
+
+	if (!connection->endless_begun) {
+		if (target->behaviour == BEHAVIOUR_ENDLESS_BODY)
+			bf_bytes_format(
+			    out, "HTTP/1.1 200 OK\r\nCall-Id: %s\r\n\r\n", id);
+		else if (target->behaviour == BEHAVIOUR_ENDLESS_HEAD)
+			bf_bytes_format(out,
+			    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nLong: ", id);
+		else if (target->behaviour == BEHAVIOUR_ENDLESS_CHUNK_EXTENSION)
+			bf_bytes_format(out,
+			    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\n"
+			    "Transfer-Encoding: chunked\r\n\r\n5;",
+			    id);
+	}
+	connection->endless_begun = true;
+	begin_bytes = bf_bytes_count(out);
+	for (i = 0; i < 20000 && begin_bytes < ENDLESS_UNSENT_MAX; i++)
+		bf_bytes_add_text(out,
+		    target->behaviour == BEHAVIOUR_ENDLESS_INTERIM
+			? "HTTP/1.1 100 Continue\r\n\r\n"
+			: "no end of these bytes");
+	target->endless_bytes += bf_bytes_count(out) - begin_bytes;
+	bf_tcp_schedule_flush(&connection->tcp);
+	bf_loop_timer_set(
+	    target->fixture->loop, &connection->timer, now_us + BF_US_PER_MS);
+}
+
+static bool
+is_endless(target_behaviour_t behaviour)
+{
+	return behaviour >= BEHAVIOUR_ENDLESS_HEAD &&
+	    behaviour <= BEHAVIOUR_ENDLESS_CHUNK_EXTENSION;
+}
+
 static void
 on_answer_timer(bf_timer_t *timer, bf_time_us_t now_us)
 {
@@ -432,9 +477,12 @@
 	const char *id = bf_http_find(connection->message, "Call-Id");
 	fake_target_t *target = connection->target;
 
-	(void)now_us;
 	if (id == NULL)
 		id = "";
+	if (is_endless(target->behaviour)) {
+		send_endless(connection, now_us);
+		return;
+	}
 	if (connection->run != NULL)
 		target->running--;
 	connection->run = NULL;
@@ -446,6 +494,14 @@
 	case BEHAVIOUR_REJECT:
 		send_answer(connection, 503, id, "Not-Run: 1\r\n", "", 0);
 		break;
+	case BEHAVIOUR_FAIL_AS_BUSY:
+		send_answer(connection, 503, id, "", "", 0);
+		break;
+	case BEHAVIOUR_CUT_HEAD:
+		bf_bytes_format(&connection->tcp.out,
+		    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nStamp: t", id);
+		bf_tcp_finish(&connection->tcp);
+		break;
 	case BEHAVIOUR_MISDIRECTED:
 		send_answer(connection, 421, id, "", "", 0);
 		break;
@@ -507,6 +563,25 @@
 		target->running_max = target->running;
 }
 
+static bool
+rejects_first(target_behaviour_t behaviour)
+{
+	return behaviour == BEHAVIOUR_REPEAT_REFUSAL ||
+	    behaviour == BEHAVIOUR_REPEAT_ANONYMOUS_REFUSAL;
+}
+
+/* id: NULL for a refusal that does not say which request it answers. */
+static void
+send_refusal(target_connection_t *connection, const char *id)
+{
+	bf_bytes_add_text(
+	    &connection->tcp.out, "HTTP/1.1 503 X\r\nNot-Run: 1\r\n");
+	if (id != NULL)
+		bf_bytes_format(&connection->tcp.out, "Call-Id: %s\r\n", id);
+	bf_bytes_add_text(&connection->tcp.out, "Content-Length: 0\r\n\r\n");
+	bf_tcp_schedule_flush(&connection->tcp);
+}
+
 static void
 on_target_message(bf_http_reader_t *reader, bf_http_message_t *message)
 {
@@ -521,6 +596,19 @@
 		send_answer(connection, 421, "", "", "", 0);
 		return;
 	}
+	if (rejects_first(target->behaviour)) {
+		if (connection->refused_id[0] == '\0') {
+			(void)snprintf(connection->refused_id,
+			    sizeof(connection->refused_id), "%s",
+			    bf_http_find(message, "Call-Id"));
+			send_refusal(connection, connection->refused_id);
+			return;
+		}
+		send_refusal(connection,
+		    target->behaviour == BEHAVIOUR_REPEAT_REFUSAL
+			? connection->refused_id
+			: NULL);
+	}
 	record_run(connection);
 	connection->timer.fire = on_answer_timer;
 	bf_loop_timer_set(target->fixture->loop, &connection->timer,
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -26,7 +26,19 @@
 	BEHAVIOUR_EXTRA_ANSWER, /* a second answer behind the first */
 	BEHAVIOUR_SILENT,       /* never answers */
 	BEHAVIOUR_UNFRAMED,     /* an answer ended by closing the connection */
-	BEHAVIOUR_MISDIRECTED /* 421, as from another target at this address */
+	BEHAVIOUR_MISDIRECTED, /* 421, as from another target at this address */
+	/*
+	 * Rejects the first request of a connection; to the next one it sends
+	 * that refusal once more, with its id or without, and runs the request.
+	 */
+	BEHAVIOUR_REPEAT_REFUSAL,
+	BEHAVIOUR_REPEAT_ANONYMOUS_REFUSAL,
+	BEHAVIOUR_FAIL_AS_BUSY, /* 503 after a run, without Not-Run */
+	BEHAVIOUR_CUT_HEAD,     /* closes within the head of its answer */
+	BEHAVIOUR_ENDLESS_HEAD, /* until the connection is closed */
+	BEHAVIOUR_ENDLESS_INTERIM,
+	BEHAVIOUR_ENDLESS_BODY,
+	BEHAVIOUR_ENDLESS_CHUNK_EXTENSION
 } target_behaviour_t;
 
 typedef struct fake_target fake_target_t;
@@ -48,6 +60,7 @@
 	bf_time_us_t delay_us; /* from a request to the behaviour */
 	uint32_t running;
 	uint32_t running_max;
+	uint64_t endless_bytes; /* sent by the endless behaviours */
 	target_run_t runs[TARGET_RUNS_MAX];
 	uint32_t run_count;
 	uint64_t sequence; /* of its last heartbeat */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -223,6 +223,67 @@
 	fixture_free(fixture);
 }
 
+/*
+ * A target sends an earlier refusal once more, at the place of the answer to a
+ * call that it runs: that call is not reported as not run.
+ */
+static void
+test_repeated_refusal(void)
+{
+	static const target_behaviour_t behaviours[] = {
+		BEHAVIOUR_REPEAT_REFUSAL, BEHAVIOUR_REPEAT_ANONYMOUS_REFUSAL
+	};
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(behaviours); i++) {
+		mesh_fixture_t *fixture = new_configured(1);
+		test_call_t call;
+
+		set_behaviour(fixture, behaviours[i]);
+		call = send_and_await(fixture, "POST", "/pay/x", "c1");
+		g_assert_cmpuint(call.status, ==, 503);
+		g_assert_cmpuint(fixture_count_runs(fixture, "c1"), ==, 0);
+		call = send_and_await(fixture, "POST", "/pay/x", "c2");
+		g_assert_cmpuint(fixture_count_runs(fixture, "c2"), ==, 1);
+		g_assert_cmpuint(call.status, ==, 502);
+		fixture_free(fixture);
+	}
+}
+
+/*
+ * A status that tells callers that nothing was run, from a target that does not
+ * say so: only a call that may be repeated gets it.
+ */
+static void
+test_busy_after_run(void)
+{
+	mesh_fixture_t *fixture = new_configured(1);
+	test_call_t call;
+
+	set_behaviour(fixture, BEHAVIOUR_FAIL_AS_BUSY);
+	call = send_and_await(fixture, "POST", "/pay/x", "c1");
+	g_assert_cmpuint(fixture_count_runs(fixture, "c1"), ==, 1);
+	g_assert_cmpuint(call.status, ==, 502);
+	call = send_and_await(fixture, "GET", "/read/x", "c2");
+	g_assert_cmpuint(call.status, ==, 503);
+	fixture_free(fixture);
+}
+
+/* An answer that ends within its head is no answer. */
+static void
+test_cut_head(void)
+{
+	mesh_fixture_t *fixture = new_configured(1);
+	test_call_t call;
+
+	set_behaviour(fixture, BEHAVIOUR_CUT_HEAD);
+	call = send_and_await(fixture, "POST", "/pay/x", "c1");
+	g_assert_cmpuint(call.status, ==, 502);
+	call = send_and_await(fixture, "GET", "/read/x", "c2");
+	g_assert_cmpuint(call.status, ==, 502);
+	fixture_free(fixture);
+}
+
 /* A body that is too long to be sent with the offer arrives whole. */
 static void
 test_long_body(void)
@@ -1230,6 +1291,9 @@
 	g_test_add_func("/mesh/extra-answer", test_extra_answer);
 	g_test_add_func("/mesh/unframed-answer", test_unframed_answer);
 	g_test_add_func("/mesh/silent-target", test_silent_target);
+	g_test_add_func("/mesh/repeated-refusal", test_repeated_refusal);
+	g_test_add_func("/mesh/busy-after-run", test_busy_after_run);
+	g_test_add_func("/mesh/cut-head", test_cut_head);
 	g_test_add_func("/mesh/long-body", test_long_body);
 	g_test_add_func("/mesh/long-configuration", test_long_configuration);
 	g_test_add_func("/mesh/lost-before-body", test_lost_before_body);
