Bound what endless answers of targets hold in memory

A body without a length was collected up to 64 MB for each call, until the call's deadline; four at once took 287 MB from their target in under a second, more than most instances have. Interim responses (1xx) without end were read until the deadline.

The answers that a node is receiving may hold 48 MB in all; one of them may have as many bytes as are left, so the longest fail first and short ones go on. After 16 interim responses an exchange fails. An endless line in a head and an endless chunk extension were bounded already, by our limit for heads and by that of the parser.

--- a/http/client.c
+++ b/http/client.c
@@ -43,10 +43,31 @@
 	}
 }
 
+static void
+set_held_bytes(bf_http_client_conn_t *conn, uint64_t bytes)
+{
+	conn->client->held_bytes += bytes - conn->held_bytes;
+	conn->held_bytes = bytes;
+}
+
+/* Counts the body received so far; false if it is too long. */
+static bool
+count_held_bytes(bf_http_client_conn_t *conn)
+{
+	const bf_http_message_t *message = conn->reader.message;
+	const bf_http_client_t *client = conn->client;
+
+	set_held_bytes(
+	    conn, message != NULL ? bf_bytes_count(&message->body) : 0);
+	return client->held_bytes_max == 0 ||
+	    conn->held_bytes + client->held_bytes <= client->held_bytes_max;
+}
+
 static void
 drop_conn(bf_http_client_conn_t *conn)
 {
 	remove_idle(conn);
+	set_held_bytes(conn, 0);
 	bf_tcp_close(&conn->tcp);
 	bf_http_reader_clear(&conn->reader);
 	conn->client->conn_count--;
@@ -123,6 +144,7 @@
 	}
 	conn->exchange = NULL;
 	exchange->conn = NULL;
+	set_held_bytes(conn, 0);
 	keep_or_drop_conn(conn, message);
 	exchange->done(exchange, BF_HTTP_ANSWERED, message, now_us);
 }
@@ -141,7 +163,8 @@
 		drop_conn(conn);
 		return;
 	}
-	if (bf_http_reader_feed(&conn->reader, data, bytes) != BF_HTTP_OK) {
+	if (bf_http_reader_feed(&conn->reader, data, bytes) != BF_HTTP_OK ||
+	    (conn->exchange != NULL && !count_held_bytes(conn))) {
 		bf_tcp_close(tcp);
 		if (conn->exchange != NULL)
 			end_exchange(conn, BF_HTTP_BAD_RESPONSE, NULL, now_us);
--- a/http/client.h
+++ b/http/client.h
@@ -38,6 +38,13 @@
 	/* Idle connections are reused up to this age. */
 	bf_time_us_t idle_timeout_us;
 	uint64_t opened; /* total connections opened */
+	/*
+	 * Bytes of incomplete response bodies.  One response may have as many
+	 * as are left to held_bytes_max; so the longest ones fail first, with
+	 * BF_HTTP_BAD_RESPONSE, when many are received at once.
+	 */
+	uint64_t held_bytes;
+	uint64_t held_bytes_max; /* 0: no limit */
 };
 
 /*
--- a/http/message.c
+++ b/http/message.c
@@ -6,6 +6,8 @@
 
 #define HEAD_BYTES_DEFAULT 65536
 #define BODY_BYTES_DEFAULT (UINT64_C(64) << 20)
+/* A server that sends more before a final response may never send one. */
+#define INTERIM_RESPONSES_MAX 16
 
 bf_http_message_t *
 bf_http_message_new(void)
@@ -263,7 +265,10 @@
 	if (parser->type == HTTP_RESPONSE && message->status < 200) {
 		/* An interim response; the final one follows. */
 		bf_http_message_free(message);
-		return 0;
+		reader->interim_count++;
+		return reader->interim_count > INTERIM_RESPONSES_MAX
+		    ? fail(reader, BF_HTTP_MALFORMED)
+		    : 0;
 	}
 	if (reader->single_message)
 		http_parser_pause(parser, 1);
--- a/http/message.h
+++ b/http/message.h
@@ -78,6 +78,7 @@
 	uint64_t head_bytes_max;
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
+	uint32_t interim_count; /* responses of status 1xx */
 	bf_http_fault_t fault;
 	bool in_value;         /* the last piece of the head was a value */
 	bool single_message;   /* stop after the first message */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -22,6 +22,8 @@
 #define IDLE_US (5 * BF_US_PER_S)
 /* Time after the deadline during which the target's answer is awaited. */
 #define ANSWER_GRACE_US (150 * BF_US_PER_MS)
+/* Incomplete answers that are held at once, so that memory is bounded. */
+#define ANSWERS_BYTES_MAX ((uint64_t)48 << 20)
 /*
  * A departure names the target's id, not the start time of its process.  If it
  * arrives before the first heartbeat, it applies to the lifetime of this id
@@ -1097,6 +1099,7 @@
 	target->client.loop = mesh->loop;
 	target->client.address = mesh->options.target_address;
 	target->client.idle_timeout_us = IDLE_US;
+	target->client.held_bytes_max = ANSWERS_BYTES_MAX;
 	target->expiry_timer.fire = on_expiry;
 	bf_call_queue_init(&target->queue, 0);
 	bf_body_pulls_init(&target->pulls, mesh->options.link_mbps);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -284,6 +284,42 @@
 	fixture_free(fixture);
 }
 
+/*
+ * Answers without an end, to several calls at once, are cut off before the
+ * node's memory is used up, and as soon as they can be no answer.
+ */
+static void
+test_endless_answers(void)
+{
+	static const target_behaviour_t behaviours[] = { BEHAVIOUR_ENDLESS_HEAD,
+		BEHAVIOUR_ENDLESS_INTERIM, BEHAVIOUR_ENDLESS_BODY,
+		BEHAVIOUR_ENDLESS_CHUNK_EXTENSION };
+	/* The smallest instance has 160 MB; the process itself needs 32. */
+	const uint64_t held_bytes_max = (uint64_t)128 << 20;
+	test_call_t calls[TARGET_SLOTS];
+	size_t i, j;
+
+	for (i = 0; i < G_N_ELEMENTS(behaviours); i++) {
+		mesh_fixture_t *fixture = new_configured(1);
+
+		set_behaviour(fixture, behaviours[i]);
+		for (j = 0; j < TARGET_SLOTS; j++)
+			fixture_send(fixture, &calls[j], 0, "POST", "/pay/x",
+			    "c1", TIMEOUT_MS, 0);
+		g_assert_true(
+		    fixture_await(fixture, calls, TARGET_SLOTS, WAIT_US));
+		fixture_run(fixture, SETTLE_US);
+		g_assert_cmpuint(fixture->targets[0].running, ==, 0);
+		g_assert_cmpuint(
+		    fixture->targets[0].endless_bytes, <, held_bytes_max);
+		for (j = 0; j < TARGET_SLOTS; j++) {
+			g_assert_cmpuint(calls[j].status, >=, 502);
+			bf_http_client_reset(&calls[j].client);
+		}
+		fixture_free(fixture);
+	}
+}
+
 /* A body that is too long to be sent with the offer arrives whole. */
 static void
 test_long_body(void)
@@ -1294,6 +1330,7 @@
 	g_test_add_func("/mesh/repeated-refusal", test_repeated_refusal);
 	g_test_add_func("/mesh/busy-after-run", test_busy_after_run);
 	g_test_add_func("/mesh/cut-head", test_cut_head);
+	g_test_add_func("/mesh/endless-answers", test_endless_answers);
 	g_test_add_func("/mesh/long-body", test_long_body);
 	g_test_add_func("/mesh/long-configuration", test_long_configuration);
 	g_test_add_func("/mesh/lost-before-body", test_lost_before_body);
