Test answers that end within their head in basilnoded's data path

Reported from other systems: a target stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole.

--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -320,6 +320,16 @@
 		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		    "5\r\nhello\r\n",
 		    false },
+		{ "/cut-head-line", "HTTP/1.1 200 O", false },
+		{ "/cut-head-field", "HTTP/1.1 200 OK\r\nContent-Le", false },
+		{ "/cut-head-empty",
+		    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-", false },
+		{ "/cut-head-body", "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n",
+		    false },
+		{ "/cut-head-none", "HTTP/1.1 204 None\r\nX-", false },
+		{ "/cut-head-chunks",
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n",
+		    false },
 		{ "/unframed", "HTTP/1.1 200 OK\r\n\r\nhello", false },
 		{ "/two-lengths",
 		    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
--- a/tests/test_proxy.c
+++ b/tests/test_proxy.c
@@ -152,6 +152,29 @@
 	mesh_close(&mesh);
 }
 
+/* A target closes within the head of its response. */
+static void
+test_a_truncated_head_is_no_response(void)
+{
+	static const char *const paths[] = { "/a/cut-head-line",
+		"/a/cut-head-field", "/a/cut-head-empty", "/a/cut-head-body",
+		"/a/cut-head-none", "/a/cut-head-chunks" };
+	response_t response;
+	mesh_t mesh;
+	size_t i;
+
+	mesh_open(&mesh, &one_target);
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		mesh_publish_without_history(&mesh);
+		mesh_call(&mesh, &(request_t){ .path = paths[i] }, &response);
+		g_test_message("%s: %s", paths[i], response.head->str);
+		g_assert_cmpint(response.status, ==, 502);
+		g_assert_cmpstr(response.outcome, ==, "unknown");
+		response_clear(&response);
+	}
+	mesh_close(&mesh);
+}
+
 static void
 test_a_truncated_response_is_not_forwarded_as_complete(void)
 {
@@ -433,6 +456,8 @@
 	g_test_add_func("/proxy/refusals", test_refusals_are_not_run);
 	g_test_add_func("/proxy/cut-answers",
 	    test_a_truncated_response_is_not_forwarded_as_complete);
+	g_test_add_func(
+	    "/proxy/cut-head", test_a_truncated_head_is_no_response);
 	g_test_add_func(
 	    "/proxy/late-answer", test_a_late_response_reaches_no_caller);
 	g_test_add_func(
