Let callers leave and links be thin in the soak

One call in twenty is now left by its caller after up to 0.2 s; a third of the nodes have a link of 10 Mbit/s; uploads of 250 KB come 24 at once; one fault in four is followed by the next at once.

Checked while both nodes are undisturbed for 3 s and the machine has time for the soak itself: no call reaches a target over 0.5 s after its caller has left, and at most a quarter of the runs that would last as long go on.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -42,6 +42,30 @@
 #define MEASURED_US (3 * BF_US_PER_S)
 #define SERVED_RATIO_MIN 0.97
 #define PROBLEMS_PRINTED_MAX 12
+/* One call in LEAVING_ONE_IN is left by its caller within LEAVING_MS_MAX. */
+#define LEAVING_ONE_IN 20
+#define LEAVING_MS_MAX 200
+/*
+ * After its caller has left, a call may reach a target for this long, and one
+ * run in WORKED_ON_ONE_IN may last longer, while the nodes are undisturbed.
+ */
+#define AFTER_LEAVING_US (500 * BF_US_PER_MS)
+#define WORKED_ON_ONE_IN 4
+#define WORKED_ON_MIN 8
+/* A node is undisturbed this long after the last fault. */
+#define CALM_AFTER_US (3 * BF_US_PER_S)
+/* The whole machine is too busy for the checks of times. */
+#define OWN_LAG_US (150 * BF_US_PER_MS)
+/* A third of the nodes have a link of 10 Mbit/s. */
+#define THIN_LINK_ONE_IN 3
+#define THIN_LINK_MBPS 10
+#define WIDE_LINK_MBPS 1000
+/* Now and then many long bodies are sent at once, which fill thin links. */
+#define UPLOADS_AT_ONCE 24
+#define UPLOADS_ONE_IN 300 /* calls */
+#define LONG_BODY_BYTES ((size_t)250000)
+/* One fault in this many is followed by the next one at once. */
+#define SERIES_ONE_IN 4
 
 typedef struct soak soak_t;
 
@@ -57,7 +81,8 @@
 	bool terminated;               /* SIGTERM was sent */
 	bool killed;
 	bool paused;
-	bf_time_us_t kill_at_us; /* deadline after a SIGTERM; 0: none */
+	bf_time_us_t disturbed_us; /* last fault of the process or its link */
+	bf_time_us_t kill_at_us;   /* deadline after a SIGTERM; 0: none */
 	bf_time_us_t start_us; /* of the process; of the next one if pid is 0 */
 	bf_time_us_t target_restart_us; /* 0: none due */
 	uint16_t callers_port;
@@ -76,9 +101,16 @@
 	uint64_t route; /* number of the route called; 0: the unsafe route */
 	bf_time_us_t sent_us;
 	bf_timer_t timeout;
+	bf_timer_t leaving; /* when its caller leaves */
 	bf_http_exchange_t exchange;
 } call_t;
 
+/* A caller that left. */
+typedef struct left_call {
+	const node_t *node;
+	bf_time_us_t left_us;
+} left_call_t;
+
 struct soak {
 	uint64_t seed;
 	uint32_t seconds;
@@ -93,10 +125,14 @@
 	GHashTable *refused_ids; /* of unsafe calls answered 429 or 503 */
 	GHashTable *unsafe_ids;  /* of all calls that must run at most once */
 	GHashTable *sent_ids;
-	uint64_t config_number; /* of the newest configuration written */
+	GHashTable *left_calls;  /* request id to left_call_t */
+	uint32_t lasting_runs;   /* that would last AFTER_LEAVING_US and more */
+	uint32_t worked_on_runs; /* of these, those that did */
+	uint64_t config_number;  /* of the newest configuration written */
 	bf_time_us_t started_us;
 	bf_time_us_t faults_end_us;
 	bf_time_us_t end_us;
+	bf_time_us_t ticked_us;
 	bf_timer_t tick_timer;
 	bf_timer_t fault_timer;
 	bf_timer_t faults_end_timer;
@@ -178,6 +214,7 @@
 	node->paused = false;
 	node->kill_at_us = 0;
 	node->start_us = now_us;
+	node->disturbed_us = now_us;
 	g_free(settings);
 	g_free(log);
 }
@@ -191,7 +228,7 @@
 
 	text = g_strdup_printf(
 	    "[node]\ninstance = \"%s\"\navailability_zone = \"%s\"\n"
-	    "service = \"shop\"\n"
+	    "service = \"shop\"\nlink_mbps = %d\n"
 	    "[callers]\nlisten = \"%s:%u\"\n"
 	    "[peers]\nlisten = \"%s:%u\"\nadvertise = \"%s:%u\"\n"
 	    "[target]\naddress = \"%s:%u\"\nlisten = \"%s:%u\"\n"
@@ -200,7 +237,10 @@
 	    "[stop]\ngrace_s = %d\n"
 	    "[repeats]\nshare = 0.2\nburst = 60\n"
 	    "[log]\nsample_one_in = 20\n",
-	    node->name, zone, ip, node->callers_port, ip, peers_port, ip,
+	    node->name, zone,
+	    node->peers_proxy.bytes_per_s != 0 ? THIN_LINK_MBPS
+					       : WIDE_LINK_MBPS,
+	    ip, node->callers_port, ip, peers_port, ip,
 	    soak_proxy_port(&node->peers_proxy), ip, target_port, ip,
 	    heartbeat_port, ip, port_of(node, PORT_READY), ip,
 	    soak_proxy_port(&node->store_proxy), STOP_GRACE_S);
@@ -209,6 +249,79 @@
 	g_free(path);
 }
 
+/* ---- callers that leave ---- */
+
+static bool
+is_calm(const node_t *node, bf_time_us_t now_us)
+{
+	const soak_proxy_t *link = &node->peers_proxy;
+
+	return node->pid != 0 && !node->terminated && !node->paused &&
+	    !link->cut[SOAK_SIDE_CLIENT] && !link->cut[SOAK_SIDE_SERVER] &&
+	    link->delay_us == 0 && now_us - node->disturbed_us > CALM_AFTER_US;
+}
+
+/* The call if its caller has left and both nodes are calm; else NULL. */
+static const left_call_t *
+find_left_call(const node_t *target_node, const char *id, bf_time_us_t now_us)
+{
+	const left_call_t *left;
+
+	left = id != NULL
+	    ? g_hash_table_lookup(target_node->soak->left_calls, id)
+	    : NULL;
+	return left != NULL && is_calm(left->node, now_us) &&
+		is_calm(target_node, now_us)
+	    ? left
+	    : NULL;
+}
+
+static void
+on_run_began(soak_target_t *target, const char *id, bf_time_us_t now_us)
+{
+	node_t *node = BF_CONTAINER(target, node_t, target);
+	const left_call_t *left = find_left_call(node, id, now_us);
+
+	if (left != NULL && now_us - left->left_us > AFTER_LEAVING_US)
+		report_problem(node->soak,
+		    "%s reached %s %lld ms after its caller left %s", id,
+		    node->name,
+		    (long long)((now_us - left->left_us) / BF_US_PER_MS),
+		    left->node->name);
+}
+
+static void
+on_run_ended(soak_target_t *target, const char *id, bf_time_us_t planned_end_us,
+    bf_time_us_t now_us)
+{
+	node_t *node = BF_CONTAINER(target, node_t, target);
+	const left_call_t *left = find_left_call(node, id, now_us);
+
+	if (left == NULL || planned_end_us - left->left_us < AFTER_LEAVING_US)
+		return;
+	node->soak->lasting_runs++;
+	if (now_us - left->left_us > AFTER_LEAVING_US)
+		node->soak->worked_on_runs++;
+}
+
+static const soak_run_events_t run_events = {
+	.began = on_run_began,
+	.ended = on_run_ended,
+};
+
+/* Callers notice nothing of a machine that has no time for the soak itself. */
+static void
+note_own_lag(soak_t *soak, bf_time_us_t now_us)
+{
+	uint32_t i;
+
+	if (bf_clock_monotonic_us() - now_us < OWN_LAG_US &&
+	    now_us - soak->ticked_us < TICK_US + OWN_LAG_US)
+		return;
+	for (i = 0; i < soak->node_count; i++)
+		soak->nodes[i].disturbed_us = now_us;
+}
+
 static void
 set_up_node(soak_t *soak, uint32_t number)
 {
@@ -229,10 +342,14 @@
 	at.sin_addr.s_addr = soak_address();
 	at.sin_port = htons(peers_port);
 	soak_proxy_open(&node->peers_proxy, soak->loop, &at);
+	if (number % THIN_LINK_ONE_IN == soak->seed % THIN_LINK_ONE_IN)
+		node->peers_proxy.bytes_per_s =
+		    THIN_LINK_MBPS * UINT64_C(1000000) / 8;
 	soak_proxy_open(&node->store_proxy, soak->loop, &store);
 	at.sin_port = htons(heartbeat_port);
 	soak_target_open(&node->target, soak->loop, soak->random,
 	    soak->run_counts, zone, &at);
+	node->target.events = &run_events;
 	node->callers_port = port_of(node, PORT_CALLERS);
 	at.sin_port = htons(node->callers_port);
 	node->client = (bf_http_client_t){ .loop = soak->loop,
@@ -363,9 +480,22 @@
 free_call(call_t *call)
 {
 	bf_loop_timer_cancel(call->soak->loop, &call->timeout);
+	bf_loop_timer_cancel(call->soak->loop, &call->leaving);
 	bf_loop_defer_free(call->soak->loop, call);
 }
 
+static void
+on_leaving(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	call_t *call = BF_CONTAINER(timer, call_t, leaving);
+	left_call_t *left = g_new0(left_call_t, 1);
+
+	*left = (left_call_t){ .node = call->node, .left_us = now_us };
+	g_hash_table_insert(call->soak->left_calls, g_strdup(call->id), left);
+	bf_http_cancel(&call->exchange);
+	free_call(call);
+}
+
 static void
 check_answer(call_t *call, const bf_http_message_t *message)
 {
@@ -422,7 +552,9 @@
 		report_problem(
 		    soak, "%s got bytes that are no answer", call->id);
 	}
-	if (call->sent_us > soak->end_us - MEASURED_US) {
+	/* Long calls fill a slot for most of the time that callers wait. */
+	if (call->sent_us > soak->end_us - MEASURED_US &&
+	    !g_str_has_prefix(call->id, SOAK_LONG_RUN_PREFIX)) {
 		soak->measured_calls++;
 		soak->measured_served += served ? 1 : 0;
 	}
@@ -444,13 +576,15 @@
 	free_call(call);
 }
 
+/* body_bytes: of an upload, which must run at most once; 0: any other call. */
 static void
-send_call(soak_t *soak, bf_time_us_t now_us)
+send_call(soak_t *soak, size_t body_bytes, bf_time_us_t now_us)
 {
 	node_t *node = &soak->nodes[g_rand_int_range(
 	    soak->random, 0, (gint32)soak->node_count)];
 	bf_bytes_t head = { 0 }, body = { 0 };
 	call_t *call;
+	bool leaves;
 
 	if (node->pid == 0)
 		return;
@@ -459,10 +593,13 @@
 	call->node = node;
 	call->process_number = node->process_number;
 	call->sent_us = now_us;
-	call->unsafe = g_rand_int_range(soak->random, 0, 3) == 0;
+	call->unsafe =
+	    body_bytes > 0 || g_rand_int_range(soak->random, 0, 3) == 0;
 	call->timeout.fire = on_call_timeout;
 	call->exchange.done = on_call_done;
-	(void)g_snprintf(call->id, sizeof(call->id), "c%llu",
+	leaves = g_rand_int_range(soak->random, 0, LEAVING_ONE_IN) == 0;
+	(void)g_snprintf(call->id, sizeof(call->id), "%sc%llu",
+	    leaves ? SOAK_LONG_RUN_PREFIX : "",
 	    (unsigned long long)++soak->sent_calls);
 	g_hash_table_add(soak->sent_ids, g_strdup(call->id));
 	if (call->unsafe)
@@ -474,6 +611,8 @@
 			  soak->random, 1, (gint32)soak->config_number + 1);
 	if (call->unsafe)
 		bf_bytes_add_text(&body, "a body that is sent once");
+	while (call->unsafe && bf_bytes_count(&body) < body_bytes)
+		bf_bytes_add_text(&body, ", and is long");
 	bf_bytes_format(&head,
 	    "%s /%s%llu/x HTTP/1.1\r\nHost: soak.test\r\nRequest-Id: %s\r\n"
 	    "Timeout-Ms: %d\r\n",
@@ -485,6 +624,12 @@
 	bf_bytes_add_text(&head, "\r\n");
 	bf_loop_timer_set(soak->loop, &call->timeout,
 	    now_us + CALL_TIMEOUT_MS * BF_US_PER_MS + CALL_OVERDUE_US);
+	call->leaving.fire = on_leaving;
+	if (leaves)
+		bf_loop_timer_set(soak->loop, &call->leaving,
+		    now_us +
+			g_rand_int_range(soak->random, 1, LEAVING_MS_MAX) *
+			    BF_US_PER_MS);
 	if (!bf_http_send(&node->client, &call->exchange, &head, &body,
 		node->client.idle_timeout_us, now_us))
 		free_call(call);
@@ -496,10 +641,15 @@
 on_send(bf_timer_t *timer, bf_time_us_t now_us)
 {
 	soak_t *soak = BF_CONTAINER(timer, soak_t, send_timer);
+	uint32_t uploads = 0;
 
 	if (soak->stopping)
 		return;
-	send_call(soak, now_us);
+	if (g_rand_int_range(soak->random, 0, UPLOADS_ONE_IN) == 0)
+		uploads = UPLOADS_AT_ONCE;
+	for (; uploads > 0; uploads--)
+		send_call(soak, LONG_BODY_BYTES, now_us);
+	send_call(soak, 0, now_us);
 	bf_loop_timer_set(
 	    soak->loop, timer, now_us + BF_US_PER_S / CALLS_PER_S);
 }
@@ -517,6 +667,7 @@
 inject_process_fault(
     soak_t *soak, node_t *node, gint32 kind, bf_time_us_t now_us)
 {
+	node->disturbed_us = now_us;
 	switch (kind) {
 	case 0:
 		print_event(soak, "kill", node->name);
@@ -543,11 +694,12 @@
 }
 
 static void
-inject_link_fault(
-    soak_t *soak, soak_proxy_t *proxy, const node_t *node, gint32 kind)
+inject_link_fault(soak_t *soak, soak_proxy_t *proxy, node_t *node, gint32 kind)
 {
 	char link_name[64];
 
+	if (proxy == &node->peers_proxy)
+		node->disturbed_us = bf_clock_monotonic_us();
 	(void)g_snprintf(link_name, sizeof(link_name), "%s to %s",
 	    proxy == &node->store_proxy ? "store" : "others", node->name);
 	switch (kind) {
@@ -635,6 +787,7 @@
 	soak_t *soak = BF_CONTAINER(timer, soak_t, fault_timer);
 	GRand *random = soak->random;
 	node_t *node = random_node(soak);
+	gint32 pause_ms;
 
 	if (now_us >= soak->faults_end_us)
 		return;
@@ -666,19 +819,23 @@
 		/* Several faults at once on one node. */
 		print_event(soak, "restart with connection resets", node->name);
 		terminate(node, now_us);
+		node->disturbed_us = now_us;
 		soak_proxy_reset(&node->peers_proxy);
 		soak_proxy_reset(&node->store_proxy);
 		write_config(soak);
 		break;
 	}
-	bf_loop_timer_set(soak->loop, timer,
-	    now_us + g_rand_int_range(random, 50, 600) * BF_US_PER_MS);
+	pause_ms = g_rand_int_range(random, 0, SERIES_ONE_IN) == 0
+	    ? 5
+	    : g_rand_int_range(random, 50, 600);
+	bf_loop_timer_set(soak->loop, timer, now_us + pause_ms * BF_US_PER_MS);
 }
 
 /* Ends all faults; supervise_node restarts processes that ended. */
 static void
 heal_all(soak_t *soak)
 {
+	bf_time_us_t now_us = bf_clock_monotonic_us();
 	node_t *node;
 	uint32_t i;
 
@@ -687,6 +844,8 @@
 	soak->store.delay_us = 0;
 	for (i = 0; i < soak->node_count; i++) {
 		node = &soak->nodes[i];
+		if (!is_calm(node, now_us))
+			node->disturbed_us = now_us;
 		soak_proxy_heal(&node->peers_proxy);
 		soak_proxy_heal(&node->store_proxy);
 		node->target.mode = SOAK_TARGET_SERVES;
@@ -732,6 +891,11 @@
 			    soak->nodes[i].name,
 			    (unsigned long long)soak->config_number);
 	}
+	if (soak->worked_on_runs >= WORKED_ON_MIN &&
+	    soak->worked_on_runs * WORKED_ON_ONE_IN > soak->lasting_runs)
+		report_problem(soak,
+		    "%u of %u runs went on after their callers had left",
+		    soak->worked_on_runs, soak->lasting_runs);
 	if (soak->measured_served <
 	    SERVED_RATIO_MIN * (double)soak->measured_calls)
 		report_problem(soak,
@@ -786,6 +950,8 @@
 	uint32_t i, running = 0;
 	node_t *node;
 
+	note_own_lag(soak, now_us);
+	soak->ticked_us = now_us;
 	if (!soak->stopping && now_us >= soak->end_us) {
 		soak->stopping = true;
 		for (i = 0; i < soak->node_count; i++)
@@ -875,6 +1041,8 @@
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	soak->sent_ids =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	soak->left_calls =
+	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	soak->folder = g_dir_make_tmp("basilfork-soak-XXXXXX", NULL);
 	soak_store_open(&soak->store, soak->loop, soak->random);
 	write_config(soak);
@@ -882,6 +1050,7 @@
 		set_up_node(soak, i);
 	now_us = bf_clock_monotonic_us();
 	soak->started_us = now_us;
+	soak->ticked_us = now_us;
 	soak->faults_end_us = now_us + (soak->seconds + 2) * BF_US_PER_S;
 	soak->end_us = soak->faults_end_us + RECOVERY_US;
 	soak->tick_timer.fire = on_tick;
@@ -919,12 +1088,14 @@
 	for (i = 0; i < soak->node_count; i++)
 		check_log(&soak->nodes[i]);
 	printf("soak seed %llu: %u faults, %llu calls, %llu answered, %llu of "
-	       "%llu served after the faults, %u problems; %s\n",
+	       "%llu served after the faults, %u left, %u of %u runs went on, "
+	       "%u problems; %s\n",
 	    (unsigned long long)soak->seed, soak->fault_count,
 	    (unsigned long long)soak->sent_calls,
 	    (unsigned long long)soak->answered_calls,
 	    (unsigned long long)soak->measured_served,
-	    (unsigned long long)soak->measured_calls, soak->problems,
-	    soak->folder);
+	    (unsigned long long)soak->measured_calls,
+	    g_hash_table_size(soak->left_calls), soak->worked_on_runs,
+	    soak->lasting_runs, soak->problems, soak->folder);
 	return soak->problems == 0 ? 0 : 1;
 }
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -9,6 +9,7 @@
 #define WORK_MS_MIN 3
 #define WORK_MS_MAX 40
 #define SLOW_FACTOR 8
+#define LONG_WORK_MS 800
 /*
  * Calls may still arrive for this long after the node acknowledged that the
  * target drains.
@@ -20,11 +21,18 @@
 	soak_target_t *target;
 	bf_http_request_t *request;
 	bf_timer_t timer;
+	bf_time_us_t planned_end_us;
 } run_t;
 
 static void
-finish_run(run_t *run)
+finish_run(run_t *run, bf_time_us_t now_us)
 {
+	const soak_run_events_t *events = run->target->events;
+
+	if (events != NULL)
+		events->ended(run->target,
+		    bf_http_find(run->request->message, "Request-Id"),
+		    run->planned_end_us, now_us);
 	run->target->running--;
 	bf_loop_timer_cancel(run->target->loop, &run->timer);
 	bf_loop_defer_free(run->target->loop, run);
@@ -41,10 +49,9 @@
 	char fields[256], body[128];
 	uint32_t status = 200;
 
-	(void)now_us;
 	request->user = NULL;
 	if (target->mode == SOAK_TARGET_LOSES_ANSWERS && faulty) {
-		finish_run(run);
+		finish_run(run, now_us);
 		bf_http_abort(request);
 		return;
 	}
@@ -57,7 +64,7 @@
 	    "Request-Id: %s\r\nResponse-Signature: %s\r\n"
 	    "Server-Load: %u,0,%d\r\n",
 	    id, target->id, target->running, SOAK_TARGET_SLOTS);
-	finish_run(run);
+	finish_run(run, now_us);
 	bf_http_answer(request, status, fields, body, strlen(body));
 }
 
@@ -111,8 +118,12 @@
 	work_ms = g_rand_int_range(target->random, WORK_MS_MIN, WORK_MS_MAX);
 	if (target->mode == SOAK_TARGET_SLOW)
 		work_ms *= SLOW_FACTOR;
-	bf_loop_timer_set(
-	    target->loop, &run->timer, now_us + work_ms * BF_US_PER_MS);
+	if (g_str_has_prefix(id, SOAK_LONG_RUN_PREFIX))
+		work_ms = LONG_WORK_MS;
+	run->planned_end_us = now_us + work_ms * BF_US_PER_MS;
+	bf_loop_timer_set(target->loop, &run->timer, run->planned_end_us);
+	if (target->events != NULL)
+		target->events->began(target, id, now_us);
 }
 
 static void
@@ -120,8 +131,7 @@
     bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
 {
 	(void)server;
-	(void)now_us;
-	finish_run(request->user);
+	finish_run(request->user, now_us);
 }
 
 static const bf_http_server_vtable_t vtable = {
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -22,7 +22,21 @@
 	SOAK_TARGET_MODE_COUNT
 } soak_target_mode_t;
 
-typedef struct soak_target {
+typedef struct soak_target soak_target_t;
+
+/* What a target is doing with a request. */
+typedef struct soak_run_events {
+	void (*began)(
+	    soak_target_t *target, const char *id, bf_time_us_t now_us);
+	/* planned_end_us: when the run ends if it is not abandoned. */
+	void (*ended)(soak_target_t *target, const char *id,
+	    bf_time_us_t planned_end_us, bf_time_us_t now_us);
+} soak_run_events_t;
+
+/* Requests whose id begins so are long ones. */
+#define SOAK_LONG_RUN_PREFIX "long-"
+
+struct soak_target {
 	bf_http_server_t server;
 	bf_loop_t *loop;
 	GRand *random;
@@ -41,7 +55,8 @@
 	bf_http_client_t node_client; /* sends the heartbeats */
 	bf_http_exchange_t heartbeat_exchange;
 	bool heartbeat_drains; /* the heartbeat in flight reports "draining" */
-} soak_target_t;
+	const soak_run_events_t *events; /* set after opening; may be NULL */
+};
 
 /* heartbeat_address: where the node receives heartbeats. */
 void soak_target_open(soak_target_t *target, bf_loop_t *loop, GRand *random,
