Reset the connection of a cancelled exchange instead of closing it

The logs show the call offered at once, its cancellation read by the target's node 0.07 s after its caller left, and the target reading the request 0.99 s after it was sent, together with the end of the connection. That is the time after which a lost handshake is repeated: the node took the connection for open and sent the request, and closed it in order, so the kernel went on to deliver the request.

Cancelling an exchange now resets its connection, which discards what has not been delivered. A link to a node that is given up is reset likewise: offers that it still holds could arrive after their calls were offered to others. A process that ends closes its links in order, since replies may still be under way. Ruled out: a late offer or a stalled iteration, of which the logs of both nodes have none over 0.26 s at that time.

test_callers_leave: request-not-delivered failed before (the target found all 900 KB of a request cancelled before) and passes now.

--- a/http/client.c
+++ b/http/client.c
@@ -277,6 +277,8 @@
 		return;
 	exchange->conn = NULL;
 	conn->exchange = NULL;
+	/* The request may still be on its way to the server. */
+	bf_tcp_abort(&conn->tcp);
 	drop_conn(conn);
 }
 
--- a/http/client.h
+++ b/http/client.h
@@ -56,7 +56,10 @@
     const bf_bytes_t *head, const bf_bytes_t *body, bf_time_us_t idle_max_us,
     bf_time_us_t now_us);
 
-/* Cancels an exchange and closes its connection; done is not called. */
+/*
+ * Cancels an exchange and resets its connection, so that a request that has not
+ * arrived yet does not arrive any more; done is not called.
+ */
 void bf_http_cancel(bf_http_exchange_t *exchange);
 
 /* Closes idle connections, for example when another server has the address. */
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -234,3 +234,10 @@
 	bf_tcp_close(&link->tcp);
 	bf_bytes_free(&link->in);
 }
+
+void
+bf_mesh_link_abort(bf_mesh_link_t *link)
+{
+	bf_tcp_abort(&link->tcp);
+	bf_bytes_free(&link->in);
+}
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -92,5 +92,7 @@
 
 /* Closes the connection without a callback and frees its buffers, not link. */
 void bf_mesh_link_close(bf_mesh_link_t *link);
+/* The same with a reset: frames that have not arrived yet are discarded. */
+void bf_mesh_link_abort(bf_mesh_link_t *link);
 
 #endif
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -306,10 +306,14 @@
 	}
 }
 
+/*
+ * The offers that the link still holds are lost to this node, which may offer
+ * their calls to others.
+ */
 static void
 drop_link(bf_peer_t *peer)
 {
-	bf_mesh_link_close(peer->link);
+	bf_mesh_link_abort(peer->link);
 	bf_loop_defer_free(peer->mesh->loop, peer->link);
 	peer->link = NULL;
 	peer->connected = false;
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -210,6 +210,18 @@
 	bf_bytes_free(&tcp->out);
 }
 
+void
+bf_tcp_abort(bf_tcp_t *tcp)
+{
+	struct linger no_linger = { .l_onoff = 1, .l_linger = 0 };
+
+	if (!bf_tcp_is_open(tcp))
+		return;
+	(void)setsockopt(tcp->source.fd, SOL_SOCKET, SO_LINGER, &no_linger,
+	    sizeof(no_linger));
+	bf_tcp_close(tcp);
+}
+
 void
 bf_tcp_finish(bf_tcp_t *tcp)
 {
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -65,9 +65,18 @@
 	return tcp->source.fd >= 0;
 }
 
-/* Closes at once and discards unsent bytes; no effect if closed. */
+/*
+ * Closes at once and discards the bytes not yet written to the socket; no
+ * effect if closed.
+ */
 void bf_tcp_close(bf_tcp_t *tcp);
 
+/*
+ * Closes at once with a reset.  Bytes that the kernel has not delivered yet are
+ * discarded too; after bf_tcp_close they may arrive seconds later.
+ */
+void bf_tcp_abort(bf_tcp_t *tcp);
+
 /* Closes once all bytes are written. */
 void bf_tcp_finish(bf_tcp_t *tcp);
 
--- a/tests/test_callers_leave.c
+++ b/tests/test_callers_leave.c
@@ -233,6 +233,49 @@
 	fixture_free(fixture);
 }
 
+static int accepted_fd = -1;
+
+/* Accepts without reading, as a target does that is too busy. */
+static void
+keep_fd(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
+    bf_time_us_t now_us)
+{
+	(void)listener;
+	(void)from;
+	(void)now_us;
+	accepted_fd = fd;
+}
+
+/*
+ * A request is on its way to a target that does not read when its caller
+ * leaves: the target must not find the whole of it later.
+ */
+static void
+test_request_not_delivered(void)
+{
+	mesh_fixture_t *fixture = new_configured(1, 0);
+	size_t total = 0;
+	char buffer[65536];
+	test_call_t call;
+	ssize_t n;
+
+	fixture->targets[0].listener.accepted = keep_fd;
+	fixture_send(fixture, &call, 0, "POST", "/pay/x", "c1", TIMEOUT_MS,
+	    UPLOAD_BYTES * 3);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(accepted_fd, >=, 0);
+	bf_http_cancel(&call.exchange);
+	fixture_run(fixture, SETTLE_US);
+	do {
+		n = recv(accepted_fd, buffer, sizeof(buffer), MSG_DONTWAIT);
+		total += n > 0 ? (size_t)n : 0;
+		g_usleep(1000);
+	} while (n > 0);
+	g_assert_cmpuint(total, <, UPLOAD_BYTES * 3);
+	close(accepted_fd);
+	fixture_free(fixture);
+}
+
 /*
  * Several entries send large bodies to a node with a thin link.  Offers behind
  * these bodies must not reach the target after their callers have left, and the
@@ -485,6 +528,8 @@
 	    test_pipelined_requests_under_way);
 	g_test_add_func("/callers-leave/no-retry", test_no_retry);
 	g_test_add_func("/callers-leave/during-stop", test_during_stop);
+	g_test_add_func(
+	    "/callers-leave/request-not-delivered", test_request_not_delivered);
 	g_test_add_func("/callers-leave/full-link", test_full_link);
 	g_test_add_func(
 	    "/callers-leave/full-link-for-seconds", test_full_link_for_seconds);
