Count a configuration as sent when it is sent, not when it is queued

Since relays pace what they send, a node whose turn had not come within 0.6 s was passed over, but stayed marked as sent that version. The next change went to it as a difference that did not apply, and it had to ask for the whole 0.5 s later. Found by reading; test_mesh (relays, long-configuration) as before.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -160,6 +160,9 @@
 			return;
 		}
 		inbound->config_wanted_since_us = 0;
+		if (inbound->peer != NULL)
+			inbound->peer->config_sent_version =
+			    bf_routing_version(mesh->routing);
 		bytes = send_config(
 		    mesh, &inbound->link, inbound->config_wanted_base, now_us);
 		mesh->config_send_after_us = now_us +
@@ -248,7 +251,6 @@
 		if (held_version >= version ||
 		    held_version != mesh->config_before_version)
 			continue;
-		peer->config_sent_version = version;
 		/* One that still waits has an older base. */
 		if (inbound->config_wanted_since_us != 0)
 			continue;
