Count only callers that left as left, and free what a test holds

Found in reading the diff: offers cancelled because a node was silent, or at a deadline, were counted in bf_caller_left_microseconds as well. Only the abandoned ones are now. Three comments are reworded.

The bound was a time on a busy machine, which no verdict here should rest on. The verdict is now the order: all calls are answered before all nodes have the configuration, and all of them get it in the end.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -680,16 +680,17 @@
 
 /* Keeps when the caller of an offer left, for a reply that is on its way. */
 static void
-remember_cancelled(
-    const bf_entry_call_t *call, uint64_t offer_id, bf_time_us_t now_us)
+remember_cancelled(const bf_entry_call_t *call, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = call->mesh;
 	bf_cancelled_offer_t *entry;
 
+	if (call->peer == NULL)
+		return;
 	entry = &mesh->cancelled_offers[mesh->cancelled_offers_next];
 	mesh->cancelled_offers_next =
 	    (mesh->cancelled_offers_next + 1) % BF_CANCELLED_OFFERS_MAX;
-	entry->offer_id = offer_id;
+	entry->offer_id = call->offer_id;
 	entry->cancelled_at_us = now_us;
 	memcpy(entry->request_id, call->request_id, sizeof(entry->request_id));
 }
@@ -765,7 +766,6 @@
 	if (peer == NULL)
 		return;
 	clear_offer(call);
-	remember_cancelled(call, offer_id, now_us);
 	if (peer->self)
 		bf_target_cancel(mesh, NULL, offer_id, now_us, now_us);
 	else if (peer->connected) {
@@ -1010,6 +1010,7 @@
 		    call->route->name, "inner", (int)call->inner, "offers",
 		    (int)call->offers, "peer",
 		    call->peer != NULL ? call->peer->instance : "");
+	remember_cancelled(call, now_us);
 	cancel_offer(call, now_us);
 	free_call(call);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -560,7 +560,7 @@
 /* left_us: when the caller left, as far as it is known. */
 void bf_target_cancel(bf_mesh_t *mesh, bf_inbound_t *from, uint64_t offer_id,
     bf_time_us_t left_us, bf_time_us_t now_us);
-/* Starts calls that waited for a sign of their entry; see inbound->heard_us. */
+/* Starts the calls that were held until their entry was heard of. */
 void bf_target_heard(bf_inbound_t *from, bf_time_us_t now_us);
 /* Receives a part of the body of an offered call. */
 void bf_target_receive_body(bf_mesh_t *mesh, bf_inbound_t *from,
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -41,8 +41,8 @@
 /*
  * Transit time of a frame beyond the recent minimum.  The clocks of two nodes
  * differ by an unknown offset, which jumps when one of them was suspended; the
- * recent minimum of receive time - send time stands in for that offset.  It is
- * too small a delay on a connection whose recent frames were all late.
+ * recent minimum of receive time - send time stands in for that offset.  The
+ * result is too small if all recent frames of the connection were late.
  */
 static bf_time_us_t
 queueing_delay(
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -32,7 +32,10 @@
  */
 #define CONFIG_REQUEST_DELAY_US (500 * BF_US_PER_MS)
 #define CONFIG_REQUEST_DELAY_OTHER_ZONES_US (1200 * BF_US_PER_MS)
-/* So long it is requested only from nodes whose links are not the thinnest. */
+/*
+ * For this time after the delay, it is not requested from a node if another one
+ * that has it has a much wider link.
+ */
 #define WIDE_LINKS_ONLY_US (700 * BF_US_PER_MS)
 /* The next request follows after one to two times this. */
 #define CONFIG_RETRY_US (300 * BF_US_PER_MS)
--- a/tests/test_callers_leave.c
+++ b/tests/test_callers_leave.c
@@ -341,8 +341,10 @@
 			g_assert_cmpuint(fixture->targets[1].runs[i].body_bytes,
 			    ==, UPLOAD_BYTES);
 	}
-	for (i = 0; i < ENTRIES * UPLOADS; i++)
+	for (i = 0; i < ENTRIES * UPLOADS; i++) {
 		bf_http_cancel(&uploads[i].exchange);
+		bf_http_client_reset(&uploads[i].client);
+	}
 	fixture_free(fixture);
 }
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -383,6 +383,18 @@
 	fixture_free(fixture);
 }
 
+static uint32_t
+count_with_version(const mesh_fixture_t *fixture, uint64_t version)
+{
+	uint32_t count = 0, i;
+
+	for (i = 0; i < fixture->node_count; i++) {
+		if (bf_routing_version(fixture->nodes[i]->routing) == version)
+			count++;
+	}
+	return count;
+}
+
 /*
  * Five nodes request a long configuration at once over a thin link: answers to
  * calls do not wait until all of them have it.
@@ -413,15 +425,14 @@
 		fixture_send(fixture, &calls[i - 1], i, "GET", "/read/x", "c",
 		    TIMEOUT_MS, 0);
 	g_assert_true(fixture_await(fixture, calls, 5, WAIT_US));
+	g_assert_cmpuint(count_with_version(fixture, 6), <, 1 + 5);
 	for (i = 0; i < 5; i++) {
 		g_assert_cmpuint(calls[i].status, ==, 200);
-		g_assert_cmpint(calls[i].took_us, <, 500 * BF_US_PER_MS);
 		bf_http_client_reset(&calls[i].client);
 	}
-	fixture_run(fixture, 2 * BF_US_PER_S);
-	for (i = 1; i < 6; i++)
-		g_assert_cmpuint(
-		    bf_routing_version(fixture->nodes[i]->routing), ==, 6);
+	for (i = 0; i < 20 && count_with_version(fixture, 6) < 1 + 5; i++)
+		fixture_run(fixture, BF_US_PER_S / 2);
+	g_assert_cmpuint(count_with_version(fixture, 6), ==, 1 + 5);
 	g_string_free(text, TRUE);
 	fixture_free(fixture);
 }
