Accept fractions for every figure among basilmeshd's settings

Cause: the small twins of the large deployment state a burst of retries that is a fraction. basilmeshd read it as an integer, refused its settings and ended with code 2, so that no process of the mesh started. Ruled out: a fault of the template, which renders figures as they are stated. Change: retries.burst and target.heartbeat_ms are read like the other figures that the platform states; a burst is rounded down, so that the bound holds, and a heartbeat interval of zero stands for the default. Before: test_meshd_settings forms fails at heartbeat_ms = 0; after: it passes.

--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -5,6 +5,7 @@
 #include "toml/fields.h"
 
 #define MINUTE_MS 60000
+#define HEARTBEAT_MS_DEFAULT 1500
 #define COUNT_MAX 1000000
 #define SHARE_MAX 10.0
 #define MBPS_MAX 1000000.0
@@ -65,7 +66,7 @@
 static const bf_field_t target_fields[] = {
 	SPECIFIC_ADDRESS("address", FIELD(target.address)),
 	ADDRESS("listen", FIELD(target.listen)),
-	NUMBER("heartbeat_ms", FIELD(target.heartbeat_ms), 1, MINUTE_MS),
+	{ .key = "heartbeat_ms", .kind = BF_FIELD_CUSTOM }, /* read_scaled() */
 };
 
 static const bf_field_t platform_fields[] = {
@@ -78,8 +79,8 @@
 };
 
 static const bf_field_t repeat_fields[] = {
-	{ .key = "share", .kind = BF_FIELD_CUSTOM }, /* see read_scaled() */
-	NUMBER("burst", FIELD(repeats.burst), 0, COUNT_MAX),
+	{ .key = "share", .kind = BF_FIELD_CUSTOM },    /* see read_scaled() */
+	{ .key = "burst", .kind = BF_FIELD_CUSTOM },    /* see read_scaled() */
 	{ .key = "window_s", .kind = BF_FIELD_CUSTOM }, /* see read_scaled() */
 };
 
@@ -153,7 +154,7 @@
 
 	*settings = (bf_meshd_settings_t){
 		.callers = { .connections_max = 0 },
-		.target = { .heartbeat_ms = 1500 },
+		.target = { .heartbeat_ms = HEARTBEAT_MS_DEFAULT },
 		.stop = { .grace_ms = 6000 },
 		.repeats = { .share_ppm = 100000,
 		    .burst = 10,
@@ -181,6 +182,14 @@
 	}
 	read_scaled(root, "repeats", "share", SHARE_MAX, PPM_PER_UNIT,
 	    &settings->repeats.share_ppm, diagnostics);
+	/* A fraction of a retry allows none: the bound is never exceeded. */
+	read_scaled(root, "repeats", "burst", COUNT_MAX, 1,
+	    &settings->repeats.burst, diagnostics);
+	read_scaled(root, "target", "heartbeat_ms", MINUTE_MS, 1,
+	    &settings->target.heartbeat_ms, diagnostics);
+	/* Without an interval every target would count as silent. */
+	if (settings->target.heartbeat_ms == 0)
+		settings->target.heartbeat_ms = HEARTBEAT_MS_DEFAULT;
 	read_scaled(root, "repeats", "window_s", DURATION_S_MAX, MS_PER_S,
 	    &settings->repeats.window_ms, diagnostics);
 	read_scaled(root, "node", "link_mbps", MBPS_MAX, 1,
