Call the store only for what peers do not know

Counted by purpose: each node renewed a lease of 6 s every 2 s, wrote its record twice at the start, listed all nodes at full price, became a relay for 2 s before it was connected (three calls and a watch), listed the orders of moves at each new version, and repeated failed calls every 1.5 s at most; two nodes a zone watched with waits of 3 s. Ruled out: leases carried by relays, as a node that is cut off from its relays would lose its record, and with it what it knows of a target that has left. Change: mesh/store_pace.h decides when a node calls the store. Calls to the store are counted by purpose, in bf_store_call_purposes_total and in the event "stopped".

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -13,19 +13,18 @@
 
 /*
  * Longest wait of a watch.  A connection to the store that has silently failed
- * is detected only when it is over.  A second longer than the two seconds in
- * which a change must be in force: only the relays of one zone would be late by
- * that time.
+ * is detected only when it is over; until then the relays of the other zones
+ * report new configurations.
  */
-#define WATCH_TIMEOUT_MS 3000
+#define WATCH_TIMEOUT_MS 6000
 /*
  * Pause after a change before the next watch.  Changes often come in series, so
  * that the watch returns several at once.  A fifth of the time in which a
  * change must be in force.
  */
 #define COALESCE_US (400 * BF_US_PER_MS)
-/* Time after the start to discover peers before choosing to be a relay. */
-#define RELAY_DELAY_US (400 * BF_US_PER_MS)
+/* Interval at which a node checks whether it is a relay. */
+#define RELAY_CHECK_US (200 * BF_US_PER_MS)
 /*
  * When all nodes restart together, none has a configuration to send: each reads
  * the store itself after this time, in which two nodes connect and report their
@@ -317,8 +316,8 @@
     bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us)
 {
 	bf_mesh_record_store_call(
-	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys), "operator", code,
-	    now_us);
+	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys), BF_STORE_OPERATOR,
+	    code, now_us);
 }
 
 static const bf_kv_watcher_vtable_t operator_keys_vtable = {
@@ -335,10 +334,11 @@
 }
 
 static void
-on_orders_listed(bf_kv_watcher_t *watcher, bf_time_us_t began_us)
+on_orders_listed(
+    bf_kv_watcher_t *watcher, bf_time_us_t began_us, bf_time_us_t now_us)
 {
 	bf_movement_confirm_versions(
-	    BF_CONTAINER(watcher, bf_mesh_t, move_orders), began_us);
+	    BF_CONTAINER(watcher, bf_mesh_t, move_orders), began_us, now_us);
 }
 
 static void
@@ -346,7 +346,7 @@
     bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us)
 {
 	bf_mesh_record_store_call(BF_CONTAINER(watcher, bf_mesh_t, move_orders),
-	    "orders", code, now_us);
+	    BF_STORE_ORDERS, code, now_us);
 }
 
 static const bf_kv_watcher_vtable_t orders_vtable = {
@@ -389,7 +389,7 @@
 	bf_mesh_t *mesh = BF_CONTAINER(call, bf_mesh_t, outcomes_call);
 	size_t i;
 
-	bf_mesh_record_store_call(mesh, "outcomes", reply->code, now_us);
+	bf_mesh_record_store_call(mesh, BF_STORE_OUTCOMES, reply->code, now_us);
 	if (reply->code != BF_OK) {
 		mesh->outcomes_failures++;
 		bf_loop_timer_set(mesh->loop, &mesh->outcomes_timer,
@@ -434,6 +434,27 @@
 		bf_kv_watcher_stop(&mesh->operator_keys);
 }
 
+/* Number of availability zones with a node that is connected. */
+static uint32_t
+connected_zone_count(const bf_mesh_t *mesh)
+{
+	const bf_peer_t *peer, *other;
+	uint32_t count = 0;
+
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (!peer->self && !bf_roster_is_live(peer))
+			continue;
+		/* The first of its zone is counted. */
+		for (other = mesh->peers; other != peer; other = other->next) {
+			if ((other->self || bf_roster_is_live(other)) &&
+			    strcmp(other->zone, peer->zone) == 0)
+				break;
+		}
+		count += other == peer ? 1 : 0;
+	}
+	return count;
+}
+
 /* Whether this node is one of the relays of its zone. */
 static bool
 should_relay(bf_mesh_t *mesh)
@@ -457,7 +478,8 @@
 			    .link_mbps = peer->state.link_mbps,
 			    .store_answers = peer->state.store_up };
 	}
-	return bf_relays_include_self(candidates, count, BF_RELAYS_PER_ZONE);
+	return bf_relays_include_self(candidates, count,
+	    bf_store_pace_watchers(connected_zone_count(mesh)));
 }
 
 /* Whether a peer can send a configuration. */
@@ -490,12 +512,15 @@
 void
 bf_config_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
+	bf_store_pace_t pace;
 	bool chosen;
 
-	if (mesh->stopping)
+	if (mesh->stopping || now_us < mesh->relay_check_after_us)
 		return;
-	chosen =
-	    now_us - mesh->start_us >= RELAY_DELAY_US && should_relay(mesh);
+	mesh->relay_check_after_us = now_us + RELAY_CHECK_US;
+	pace = bf_registry_pace(mesh);
+	chosen = bf_store_pace_knows_nodes(&pace, mesh->listed_at_us, now_us) &&
+	    should_relay(mesh);
 	if (chosen || (!mesh->relay && should_read_store(mesh, now_us))) {
 		mesh->relay_chosen_us = now_us;
 		if (!mesh->relay)
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -12,6 +12,7 @@
 #include "mesh/link.h"
 #include "mesh/mesh.h"
 #include "mesh/retry_budget.h"
+#include "mesh/store_pace.h"
 #include "mesh/throttle.h"
 #include "store/kv_watcher.h"
 
@@ -305,6 +306,19 @@
 
 #define BF_VERSIONS_MAX 64
 
+/* What a call to the store is for. */
+typedef enum bf_store_purpose {
+	BF_STORE_LEASE,    /* obtain a lease */
+	BF_STORE_RECORD,   /* write the own record */
+	BF_STORE_NODES,    /* list the records of all nodes */
+	BF_STORE_RENEWAL,  /* renew the lease */
+	BF_STORE_OPERATOR, /* list or watch the operators' keys */
+	BF_STORE_ORDERS,   /* list the orders of moves */
+	BF_STORE_OUTCOMES, /* list the outcomes of moves */
+	BF_STORE_OUTCOME,  /* write the outcome of a move */
+	BF_STORE_PURPOSES
+} bf_store_purpose_t;
+
 typedef struct bf_mesh_metrics {
 	bf_metric_family_t *calls;   /* by outcome */
 	bf_metric_family_t *causes;  /* of calls without an answer, by cause */
@@ -314,9 +328,10 @@
 	bf_metric_family_t *waited;  /* time in the queue for a slot */
 	bf_metric_family_t *spent;   /* time at the own target */
 	bf_metric_family_t *retries; /* by result */
-	bf_metric_family_t *store_calls; /* by result */
-	bf_metric_family_t *peers;       /* by state */
-	bf_metric_family_t *config;      /* version and age */
+	bf_metric_family_t *store_calls;    /* by result */
+	bf_metric_family_t *store_purposes; /* by purpose */
+	bf_metric_family_t *peers;          /* by state */
+	bf_metric_family_t *config;         /* version and age */
 	bf_metric_family_t *queue;       /* calls at the own target, by state */
 	bf_metric_family_t *connections; /* by side */
 	bf_metric_family_t *log_lines;   /* by result */
@@ -345,6 +360,7 @@
 	/* Configuration. */
 	bf_time_us_t start_us;
 	bool relay; /* this node watches the operators' keys */
+	bf_time_us_t relay_check_after_us; /* earliest next check */
 	bf_time_us_t relay_chosen_us; /* last time it was chosen as a relay */
 	bf_kv_call_t outcomes_call;   /* reads the outcomes of moves */
 	bf_timer_t outcomes_timer;
@@ -381,6 +397,8 @@
 	uint64_t lease;
 	uint64_t member_revision; /* of the record; 0: it does not exist */
 	uint32_t member_failures;
+	uint32_t stale_lists; /* consecutive, see bf_store_pace_t */
+	uint64_t store_call_counts[BF_STORE_PURPOSES];
 	bool member_dirty;         /* the record has to be written again */
 	bf_time_us_t listed_at_us; /* 0: not yet with this lease */
 	char list_after[BF_NAME_BYTES * 2]; /* last key of the page read */
@@ -404,6 +422,10 @@
 	uint32_t move_count;
 	bf_tracked_version_t versions[BF_VERSIONS_MAX];
 	uint32_t version_count;
+	/* Start of the last complete list of orders; 0: none was read. */
+	bf_time_us_t orders_listed_us;
+	/* When to list the orders for an unconfirmed version; 0: not. */
+	bf_time_us_t orders_due_us;
 
 	/* Shutdown. */
 	bool stopping;
@@ -468,11 +490,13 @@
 /* mesh/registry.c: this node's record in the store, and the list of nodes. */
 void bf_registry_start(bf_mesh_t *mesh, bf_time_us_t now_us);
 void bf_registry_stop(bf_mesh_t *mesh);
+/* What decides about this node's calls to the store. */
+bf_store_pace_t bf_registry_pace(const bf_mesh_t *mesh);
 /* Writes the record again, after a change of its contents. */
 void bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Counts and logs the end of a call to the store, and updates store_up. */
-void bf_mesh_record_store_call(
-    bf_mesh_t *mesh, const char *name, bf_code_t code, bf_time_us_t now_us);
+void bf_mesh_record_store_call(bf_mesh_t *mesh, bf_store_purpose_t purpose,
+    bf_code_t code, bf_time_us_t now_us);
 
 /* mesh/config_source.c: the configuration and the orders of moves. */
 void bf_config_source_start(bf_mesh_t *mesh, bf_time_us_t now_us);
@@ -518,16 +542,26 @@
 bool bf_movement_record_version(bf_mesh_t *mesh, const char *service,
     const char *version, bf_time_us_t now_us);
 /* Confirms the versions seen before a complete list of orders was begun. */
-void bf_movement_confirm_versions(bf_mesh_t *mesh, bf_time_us_t began_us);
+void bf_movement_confirm_versions(
+    bf_mesh_t *mesh, bf_time_us_t began_us, bf_time_us_t now_us);
 /* Cancels pending writes of outcomes. */
 void bf_movement_stop(bf_mesh_t *mesh);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Sends the state of every move over the link. */
 void bf_movement_send_all(
     bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
+/* Sends the moves, and the versions that are confirmed with them. */
+void bf_movement_send_versions(
+    bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us);
 /* Receives the state of a move from a peer. */
 void bf_movement_receive(bf_mesh_t *mesh, bf_peer_t *peer,
     bf_wire_reader_t *reader, bf_time_us_t now_us);
+/*
+ * Receives a version that a relay has confirmed.  The relay has sent every
+ * order that it knows over the same link before.
+ */
+void bf_movement_receive_confirmed(
+    bf_mesh_t *mesh, bf_wire_reader_t *reader, bf_time_us_t now_us);
 void bf_movement_write_runs(bf_mesh_t *mesh, bf_wire_writer_t *writer);
 void bf_movement_read_runs(bf_peer_t *peer, bf_wire_reader_t *reader);
 /*
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -44,6 +44,9 @@
 	m->store_calls =
 	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_store_calls_total",
 		"Calls to the store, by kind or failure", "result");
+	m->store_purposes = bf_metrics_add(set, BF_METRIC_COUNTER,
+	    "bf_store_call_purposes_total",
+	    "Calls to the store, by what they are for", "purpose");
 	m->peers = bf_metrics_add(
 	    set, BF_METRIC_GAUGE, "bf_peers", "Other nodes, by state", "state");
 	m->config = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_config",
@@ -189,6 +192,7 @@
 on_stop_timer(bf_timer_t *timer, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, stop_timer);
+	const uint64_t *calls = mesh->store_call_counts;
 
 	if (!mesh->stop_announced &&
 	    now_us - mesh->stop_began_us >= STOP_ANNOUNCE_US) {
@@ -199,10 +203,19 @@
 		bf_loop_timer_set(mesh->loop, timer, now_us + STOP_POLL_US);
 		return;
 	}
-	bf_event(mesh->events, BF_EVENT_STOPPED, now_us, "s:i,s:i,s:I",
-	    "entry_calls", (int)mesh->entry_call_count, "target_calls",
+	bf_event(mesh->events, BF_EVENT_STOPPED, now_us,
+	    "s:i,s:i,s:I,s:{s:I,s:I,s:I,s:I,s:I,s:I,s:I,s:I}", "entry_calls",
+	    (int)mesh->entry_call_count, "target_calls",
 	    (int)bf_target_call_count(mesh), "after_us",
-	    (json_int_t)(now_us - mesh->stop_began_us));
+	    (json_int_t)(now_us - mesh->stop_began_us), "store_calls", "lease",
+	    (json_int_t)calls[BF_STORE_LEASE], "record",
+	    (json_int_t)calls[BF_STORE_RECORD], "nodes",
+	    (json_int_t)calls[BF_STORE_NODES], "renewal",
+	    (json_int_t)calls[BF_STORE_RENEWAL], "operator",
+	    (json_int_t)calls[BF_STORE_OPERATOR], "orders",
+	    (json_int_t)calls[BF_STORE_ORDERS], "outcomes",
+	    (json_int_t)calls[BF_STORE_OUTCOMES], "outcome",
+	    (json_int_t)calls[BF_STORE_OUTCOME]);
 	mesh->stopped(mesh->stopped_ctx);
 }
 
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -15,6 +15,11 @@
 #define EVALUATE_INTERVAL_US (200 * BF_US_PER_MS)
 /* Interval at which it sends the state of a move that has not changed. */
 #define RESEND_INTERVAL_US (500 * BF_US_PER_MS)
+/*
+ * Time in which a relay of the own zone confirms a new version; without that,
+ * a node reads the orders itself.
+ */
+#define CONFIRM_BY_RELAY_US (800 * BF_US_PER_MS)
 /* Recent results are those of the last one to two spans of this length. */
 #define SPAN_US BF_US_PER_S
 
@@ -111,6 +116,13 @@
 	adopt_outcome(tracked, now_us);
 }
 
+static void
+write_version(bf_wire_writer_t *writer, const bf_tracked_version_t *tracked)
+{
+	bf_wire_write_text(writer, tracked->service);
+	bf_wire_write_text(writer, tracked->version);
+}
+
 static bf_tracked_version_t *
 find_version(bf_mesh_t *mesh, const char *service, const char *version)
 {
@@ -147,21 +159,36 @@
 	    tracked->service, sizeof(tracked->service), "%s", service);
 	(void)snprintf(
 	    tracked->version, sizeof(tracked->version), "%s", version);
-	if (!first)
+	if (!first && mesh->relay)
 		bf_config_source_refresh_orders(mesh, now_us);
+	else if (!first && mesh->orders_due_us == 0)
+		mesh->orders_due_us = now_us + CONFIRM_BY_RELAY_US;
 	return !first;
 }
 
-void
-bf_movement_confirm_versions(bf_mesh_t *mesh, bf_time_us_t began_us)
+/* Lists the orders if no relay has confirmed a new version in time. */
+static void
+check_unconfirmed(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	bf_peer_t *peer;
 	uint32_t i;
 
+	if (mesh->orders_due_us == 0 || now_us < mesh->orders_due_us)
+		return;
+	mesh->orders_due_us = 0;
 	for (i = 0; i < mesh->version_count; i++) {
-		if (mesh->versions[i].first_seen_us <= began_us)
-			mesh->versions[i].confirmed = true;
+		if (!mesh->versions[i].confirmed) {
+			bf_config_source_refresh_orders(mesh, now_us);
+			return;
+		}
 	}
+}
+
+/* The versions of targets are confirmed if their service's are. */
+static void
+update_unconfirmed_targets(bf_mesh_t *mesh)
+{
+	bf_peer_t *peer;
+
 	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
 		if (peer->version_unconfirmed)
 			peer->version_unconfirmed = bf_movement_record_version(
@@ -173,6 +200,49 @@
 		    mesh->target.heartbeat.version, 0);
 }
 
+void
+bf_movement_confirm_versions(
+    bf_mesh_t *mesh, bf_time_us_t began_us, bf_time_us_t now_us)
+{
+	bool is_new = false;
+	bf_peer_t *peer;
+	uint32_t i;
+
+	mesh->orders_listed_us = began_us;
+	for (i = 0; i < mesh->version_count; i++) {
+		if (mesh->versions[i].confirmed ||
+		    mesh->versions[i].first_seen_us > began_us)
+			continue;
+		mesh->versions[i].confirmed = true;
+		is_new = true;
+	}
+	update_unconfirmed_targets(mesh);
+	for (peer = mesh->peers; is_new && mesh->relay && peer != NULL;
+	     peer = peer->next) {
+		if (!peer->self && peer->connected && peer->in_own_zone)
+			bf_movement_send_versions(mesh, peer->link, now_us);
+	}
+}
+
+void
+bf_movement_receive_confirmed(
+    bf_mesh_t *mesh, bf_wire_reader_t *reader, bf_time_us_t now_us)
+{
+	char service[BF_NAME_BYTES], version[BF_NAME_BYTES];
+	bf_tracked_version_t *tracked;
+
+	bf_wire_read_text(reader, service, sizeof(service));
+	bf_wire_read_text(reader, version, sizeof(version));
+	if (reader->code != BF_OK || service[0] == '\0')
+		return;
+	(void)bf_movement_record_version(mesh, service, version, now_us);
+	tracked = find_version(mesh, service, version);
+	if (tracked == NULL || tracked->confirmed)
+		return;
+	tracked->confirmed = true;
+	update_unconfirmed_targets(mesh);
+}
+
 /*
  * The first by name of the nodes that can write to the store, or of all nodes
  * if none can.
@@ -230,6 +300,25 @@
 	}
 }
 
+void
+bf_movement_send_versions(
+    bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	uint32_t i;
+
+	bf_movement_send_all(mesh, link, now_us);
+	for (i = 0; i < mesh->version_count; i++) {
+		/* One that is the first of its service may not be in the list.
+		 */
+		if (!mesh->versions[i].confirmed ||
+		    mesh->versions[i].first_seen_us > mesh->orders_listed_us)
+			continue;
+		write_version(&mesh->writer, &mesh->versions[i]);
+		bf_mesh_link_send(
+		    link, BF_FRAME_VERSION, 0, &mesh->writer, NULL, now_us);
+	}
+}
+
 static void
 send_to_all(bf_tracked_move_t *tracked, bf_time_us_t now_us)
 {
@@ -415,7 +504,7 @@
 	bf_mesh_t *mesh = tracked->mesh;
 
 	tracked->write_pending = false;
-	bf_mesh_record_store_call(mesh, "outcome", reply->code, now_us);
+	bf_mesh_record_store_call(mesh, BF_STORE_OUTCOME, reply->code, now_us);
 	if (reply->code == BF_OK) {
 		tracked->has_stored = true;
 		tracked->outcome_revision = reply->revision;
@@ -516,6 +605,7 @@
 	bool leading;
 	uint32_t i;
 
+	check_unconfirmed(mesh, now_us);
 	leading = mesh->move_count > 0 && is_leader(mesh);
 	for (i = 0; i < mesh->move_count; i++) {
 		tracked = &mesh->moves[i];
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -14,9 +14,6 @@
  * may be followed by another that did not receive the announcement.
  */
 
-#define LEASE_TTL_MS 6000
-/* A third of the lease's time, so that two renewals may be lost. */
-#define RENEW_INTERVAL_US (2 * BF_US_PER_S)
 /* Delay before a missing record is written again, to avoid a busy loop. */
 #define REWRITE_DELAY_US (200 * BF_US_PER_MS)
 /* Interval at which nodes are listed again, in case one was missed. */
@@ -77,23 +74,50 @@
 	    mesh->kv, &mesh->member_call, &write, 1, now_us);
 }
 
+static bool
+has_connected_peer(const bf_mesh_t *mesh)
+{
+	const bf_peer_t *peer;
+
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (!peer->self && bf_roster_is_live(peer))
+			return true;
+	}
+	return false;
+}
+
+bf_store_pace_t
+bf_registry_pace(const bf_mesh_t *mesh)
+{
+	return (bf_store_pace_t){ .first_start = mesh->options.first_start,
+		.has_peers = has_connected_peer(mesh),
+		.has_target = mesh->target.heartbeat.id[0] != '\0',
+		.started_at_us = mesh->start_us,
+		.failures = mesh->member_failures,
+		.stale_lists = mesh->stale_lists };
+}
+
 static void
 start_call(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	const bf_kv_vtable_t *kv = mesh->kv->vtable;
+	bf_store_pace_t pace;
 
 	switch ((bf_registration_step_t)mesh->member_step) {
 	case BF_REGISTRATION_GRANT:
 		kv->lease_grant(
-		    mesh->kv, &mesh->member_call, LEASE_TTL_MS, now_us);
+		    mesh->kv, &mesh->member_call, BF_LEASE_TTL_MS, now_us);
 		break;
 	case BF_REGISTRATION_WRITE:
 		write_record(mesh, now_us);
 		break;
 	case BF_REGISTRATION_LIST:
+		pace = bf_registry_pace(mesh);
 		kv->list(mesh->kv, &mesh->member_call,
 		    mesh->dialect->member_prefix, mesh->list_after,
-		    mesh->listed_at_us != 0, now_us);
+		    mesh->listed_at_us != 0 ||
+			bf_store_pace_may_be_stale(&pace),
+		    now_us);
 		break;
 	case BF_REGISTRATION_RENEW:
 		kv->lease_renew(
@@ -207,6 +231,18 @@
 		return;
 	}
 	mesh->list_after[0] = '\0';
+	/*
+	 * Only a list that is newer than the own record shows all nodes that
+	 * registered before it; those that register later see it.
+	 */
+	if (mesh->listed_at_us == 0 &&
+	    reply->revision < mesh->member_revision) {
+		mesh->stale_lists++;
+		bf_loop_timer_set(mesh->loop, &mesh->member_timer,
+		    now_us + bf_store_pace_list_again_us());
+		return;
+	}
+	mesh->stale_lists = 0;
 	mesh->listed_at_us = now_us;
 	/*
 	 * The record may have been deleted although its lease is valid; a list
@@ -219,7 +255,8 @@
 	if (is_missing)
 		mesh->member_revision = 0;
 	bf_loop_timer_set(mesh->loop, &mesh->member_timer,
-	    now_us + (is_missing ? REWRITE_DELAY_US : RENEW_INTERVAL_US));
+	    now_us +
+		(is_missing ? REWRITE_DELAY_US : bf_store_pace_renewal_us()));
 }
 
 static void
@@ -239,17 +276,26 @@
 		start_call(mesh, now_us);
 	else
 		bf_loop_timer_set(mesh->loop, &mesh->member_timer,
-		    now_us + RENEW_INTERVAL_US);
+		    now_us + bf_store_pace_renewal_us());
 }
 
 static void
 handle_success(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
+	bf_store_pace_t pace;
+	bf_time_us_t delay_us;
+
 	switch ((bf_registration_step_t)mesh->member_step) {
 	case BF_REGISTRATION_GRANT:
 		mesh->lease = reply->lease;
 		mesh->member_step = BF_REGISTRATION_WRITE;
-		start_call(mesh, now_us);
+		pace = bf_registry_pace(mesh);
+		delay_us = bf_store_pace_first_write_us(&pace, now_us);
+		if (delay_us > 0)
+			bf_loop_timer_set(
+			    mesh->loop, &mesh->member_timer, now_us + delay_us);
+		else
+			start_call(mesh, now_us);
 		break;
 	case BF_REGISTRATION_WRITE:
 		handle_written(mesh, reply, now_us);
@@ -264,7 +310,7 @@
 			break;
 		}
 		bf_loop_timer_set(mesh->loop, &mesh->member_timer,
-		    now_us + RENEW_INTERVAL_US);
+		    now_us + bf_store_pace_renewal_us());
 		break;
 	}
 }
@@ -272,9 +318,17 @@
 static void
 on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
+	static const bf_store_purpose_t purposes[] = {
+		[BF_REGISTRATION_GRANT] = BF_STORE_LEASE,
+		[BF_REGISTRATION_WRITE] = BF_STORE_RECORD,
+		[BF_REGISTRATION_LIST] = BF_STORE_NODES,
+		[BF_REGISTRATION_RENEW] = BF_STORE_RENEWAL,
+	};
 	bf_mesh_t *mesh = BF_CONTAINER(call, bf_mesh_t, member_call);
+	bf_store_pace_t pace;
 
-	bf_mesh_record_store_call(mesh, "member", reply->code, now_us);
+	bf_mesh_record_store_call(
+	    mesh, purposes[mesh->member_step], reply->code, now_us);
 	switch (reply->code) {
 	case BF_OK:
 		mesh->member_failures = 0;
@@ -303,10 +357,9 @@
 		return;
 	default:
 		mesh->member_failures++;
+		pace = bf_registry_pace(mesh);
 		bf_loop_timer_set(mesh->loop, &mesh->member_timer,
-		    now_us +
-			bf_kv_watcher_retry_delay_us(
-			    mesh->member_failures, &mesh->random));
+		    now_us + bf_store_pace_retry_us(&pace, &mesh->random));
 	}
 }
 
@@ -323,7 +376,9 @@
 	/* If a call is in progress, the record is written after it. */
 	if (mesh->member_call.pending != NULL || mesh->lease == 0)
 		return;
-	if (mesh->member_step != BF_REGISTRATION_RENEW)
+	/* Else the record is written after the next list. */
+	if (mesh->member_step != BF_REGISTRATION_RENEW &&
+	    mesh->member_step != BF_REGISTRATION_WRITE)
 		return;
 	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
 	mesh->member_step = BF_REGISTRATION_WRITE;
@@ -351,12 +406,26 @@
 		mesh->kv->vtable->cancel(mesh->kv, &mesh->member_call);
 }
 
+static const char *const purpose_names[] = {
+	[BF_STORE_LEASE] = "lease",
+	[BF_STORE_RECORD] = "record",
+	[BF_STORE_NODES] = "nodes",
+	[BF_STORE_RENEWAL] = "renewal",
+	[BF_STORE_OPERATOR] = "operator",
+	[BF_STORE_ORDERS] = "orders",
+	[BF_STORE_OUTCOMES] = "outcomes",
+	[BF_STORE_OUTCOME] = "outcome",
+};
+
 void
-bf_mesh_record_store_call(
-    bf_mesh_t *mesh, const char *name, bf_code_t code, bf_time_us_t now_us)
+bf_mesh_record_store_call(bf_mesh_t *mesh, bf_store_purpose_t purpose,
+    bf_code_t code, bf_time_us_t now_us)
 {
+	const char *name = purpose_names[purpose];
 	bool up;
 
+	mesh->store_call_counts[purpose]++;
+	bf_metric_count(mesh->metrics.store_purposes, name, 1);
 	bf_metric_count(mesh->metrics.store_calls,
 	    code == BF_OK ? name : bf_code_name(code), 1);
 	if (code != BF_OK)
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -294,6 +294,9 @@
 	case BF_FRAME_MOVE:
 		bf_movement_receive(peer->mesh, peer, &reader, now_us);
 		break;
+	case BF_FRAME_VERSION:
+		bf_movement_receive_confirmed(peer->mesh, &reader, now_us);
+		break;
 	case BF_FRAME_PROBE:
 		send_probe(peer, now_us);
 		break;
@@ -547,7 +550,10 @@
 	peer->missing_since_us = 0;
 	state = bf_mesh_node_state(mesh, now_us);
 	bf_node_state_send(mesh, &inbound->link, &state, now_us);
-	bf_movement_send_all(mesh, &inbound->link, now_us);
+	if (mesh->relay && peer->in_own_zone)
+		bf_movement_send_versions(mesh, &inbound->link, now_us);
+	else
+		bf_movement_send_all(mesh, &inbound->link, now_us);
 }
 
 /*
@@ -696,6 +702,9 @@
 			bf_movement_receive(
 			    mesh, inbound->peer, &reader, now_us);
 		break;
+	case BF_FRAME_VERSION:
+		bf_movement_receive_confirmed(mesh, &reader, now_us);
+		break;
 	default:
 		break; /* a frame of a later protocol version */
 	}
--- a/store/kv_watcher.c
+++ b/store/kv_watcher.c
@@ -52,7 +52,8 @@
 }
 
 static void
-finish_page(bf_kv_watcher_t *watcher, const bf_kv_reply_t *reply)
+finish_page(
+    bf_kv_watcher_t *watcher, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	/*
 	 * The pages are not from one revision.  Changes made while they are
@@ -68,7 +69,8 @@
 	watcher->is_listing = false;
 	watcher->revision = watcher->list_revision;
 	if (watcher->vtable->on_list_done != NULL)
-		watcher->vtable->on_list_done(watcher, watcher->list_began_us);
+		watcher->vtable->on_list_done(
+		    watcher, watcher->list_began_us, now_us);
 	if (watcher->list_again)
 		begin_list(watcher);
 }
@@ -82,7 +84,7 @@
 	for (i = 0; i < reply->item_count; i++)
 		watcher->vtable->on_item(watcher, &reply->items[i], now_us);
 	if (watcher->is_listing)
-		finish_page(watcher, reply);
+		finish_page(watcher, reply, now_us);
 	else if (reply->revision > watcher->revision)
 		watcher->revision = reply->revision;
 }
--- a/store/kv_watcher.h
+++ b/store/kv_watcher.h
@@ -18,7 +18,8 @@
 	void (*on_item)(bf_kv_watcher_t *watcher, const bf_kv_item_t *item,
 	    bf_time_us_t now_us);
 	/* A list that began at began_us is complete; may be NULL. */
-	void (*on_list_done)(bf_kv_watcher_t *watcher, bf_time_us_t began_us);
+	void (*on_list_done)(bf_kv_watcher_t *watcher, bf_time_us_t began_us,
+	    bf_time_us_t now_us);
 	/* A call to the store ended with that code; may be NULL. */
 	void (*on_call_done)(
 	    bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us);
