Report small changes of the load less often in large zones

Cause: in a zone of 40 nodes each node reported each change of its load to 39 others at every tick of 80 ms, about 490 frames a second sent and as many read; to other zones 154 a second. Every node logged every peer's change of version. Change: what decides between targets (a slot free or none, two calls more or less, failures) is reported at the next tick as before, a smaller change after 6 ms a node of the zone, so that zones of up to six nodes see no difference. Other zones are told every 2 s instead of every second; calls there are still probed. A configuration is reported at once by relays only. A node without a configuration requests one at every tick and not at the next report. Ruled out: no reports within the zone, as placing then rests on refusals alone. Test: mesh/load-reports (new function).

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -383,6 +383,7 @@
 	bf_peer_t *peers; /* includes this node */
 	bf_peer_t *self;
 	uint32_t peer_count;
+	uint32_t own_zone_count; /* at the last tick */
 	bf_inbound_t *inbound;
 	bf_node_state_t sent_own_zone; /* last sent to nodes of the own zone */
 	bf_time_us_t sent_own_zone_us;
@@ -477,6 +478,15 @@
 void bf_node_state_read(bf_wire_reader_t *reader, bf_node_state_t *state);
 /* Whether two states are equal, apart from the load. */
 bool bf_node_state_same(const bf_node_state_t *a, const bf_node_state_t *b);
+/* The same, apart from the configuration and access to the store. */
+bool bf_node_state_same_for_calls(
+    const bf_node_state_t *a, const bf_node_state_t *b);
+/*
+ * Whether to report the load to the own zone, which has peer_count nodes, since
+ * it was last reported as sent, since_us ago.
+ */
+bool bf_load_report_due(const bf_load_t *sent, const bf_load_t *load,
+    uint32_t peer_count, bf_time_us_t since_us);
 void bf_node_state_send(bf_mesh_t *mesh, bf_mesh_link_t *link,
     const bf_node_state_t *state, bf_time_us_t now_us);
 void bf_load_send(bf_mesh_t *mesh, bf_mesh_link_t *link, const bf_load_t *load,
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -155,8 +155,9 @@
 static void
 apply_state(bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
 {
-	bool changed =
-	    !peer->state_known || !bf_node_state_same(&peer->state, state);
+	/* Configurations change often, and all nodes report each of them. */
+	bool changed = !peer->state_known ||
+	    !bf_node_state_same_for_calls(&peer->state, state);
 
 	peer->state = *state;
 	peer->offers_since_report = 0;
@@ -815,11 +816,14 @@
 	for (peer = mesh->peers; peer != NULL; peer = next) {
 		next = peer->next;
 		own_zone_count += peer->in_own_zone ? 1 : 0;
-		if (peer->config_newer_since_us != 0 && peer->connected)
+		/* Without any, the next report may be seconds away. */
+		if (!peer->self && peer->connected &&
+		    (peer->config_newer_since_us != 0 || mesh->routing == NULL))
 			request_newer_config(peer, now_us);
 		check_silence(peer, now_us);
 		check_missing(peer, now_us);
 	}
+	mesh->own_zone_count = own_zone_count;
 	bf_target_tick(mesh, now_us);
 	bf_config_source_tick(mesh, now_us);
 	bf_movement_tick(mesh, now_us);
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -19,9 +19,9 @@
  * calls that leave a zone return the current load with their answers.
  */
 const bf_report_timing_t bf_report_timing_other_zones = {
-	.interval_us = BF_US_PER_S,
-	.silent_after_us = 2200 * BF_US_PER_MS,
-	.lost_after_us = 3300 * BF_US_PER_MS,
+	.interval_us = 2 * BF_US_PER_S,
+	.silent_after_us = 2800 * BF_US_PER_MS,
+	.lost_after_us = 4600 * BF_US_PER_MS,
 };
 
 void
@@ -126,6 +126,12 @@
 	    a->target_state == b->target_state && a->stopping == b->stopping;
 }
 
+bool
+bf_node_state_same_for_calls(const bf_node_state_t *a, const bf_node_state_t *b)
+{
+	return target_same(a, b) && a->relay == b->relay;
+}
+
 bool
 bf_node_state_same(const bf_node_state_t *a, const bf_node_state_t *b)
 {
@@ -133,11 +139,41 @@
 	    a->relay == b->relay && a->config_version == b->config_version;
 }
 
+/*
+ * Each node of a zone reports to each other, so a change that does not affect
+ * the choice between targets is reported this much later for each of them.
+ */
+#define SMALL_CHANGE_PER_PEER_US (6 * BF_US_PER_MS)
+/* A change of the share of failures by this is reported at once. */
+#define FAILING_CHANGE_PPM 100000
+
+static uint32_t
+difference(uint32_t a, uint32_t b)
+{
+	return a > b ? a - b : b - a;
+}
+
 static bool
-load_same(const bf_load_t *a, const bf_load_t *b)
+has_free_slot(const bf_load_t *load)
 {
-	return a->running == b->running && a->waiting == b->waiting &&
-	    a->slots == b->slots && a->failing_ppm == b->failing_ppm;
+	return load->running + load->waiting < load->slots;
+}
+
+bool
+bf_load_report_due(const bf_load_t *sent, const bf_load_t *load,
+    uint32_t peer_count, bf_time_us_t since_us)
+{
+	if (sent->slots != load->slots ||
+	    has_free_slot(sent) != has_free_slot(load) ||
+	    difference(sent->running, load->running) > 1 ||
+	    difference(sent->waiting, load->waiting) > 1 ||
+	    difference(sent->failing_ppm, load->failing_ppm) >=
+		FAILING_CHANGE_PPM)
+		return true;
+	return (sent->running != load->running ||
+		   sent->waiting != load->waiting ||
+		   sent->failing_ppm != load->failing_ppm) &&
+	    since_us >= peer_count * SMALL_CHANGE_PER_PEER_US;
 }
 
 void
@@ -171,19 +207,31 @@
 	}
 }
 
+/*
+ * Whether a change is to be reported to the own zone at once.  A configuration
+ * that is in force is so only at relays, which others request it from.
+ */
+static bool
+is_urgent(const bf_node_state_t *state, const bf_node_state_t *sent)
+{
+	return !target_same(state, sent) || state->store_up != sent->store_up ||
+	    state->relay != sent->relay ||
+	    (state->relay && state->config_version != sent->config_version);
+}
+
 /* Reports what changed, or the load when a report interval is over. */
 void
 bf_mesh_report_changes(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_node_state_t state = bf_mesh_node_state(mesh, now_us);
-	bool changed;
-
-	changed = !bf_node_state_same(&state, &mesh->sent_own_zone);
-	if (changed ||
-	    now_us - mesh->sent_own_zone_us >=
-		bf_report_timing_own_zone.interval_us ||
-	    !load_same(&state.load, &mesh->sent_own_zone.load)) {
-		report_to_zone(mesh, true, &state, changed, now_us);
+	bf_time_us_t since_us = now_us - mesh->sent_own_zone_us;
+
+	if (is_urgent(&state, &mesh->sent_own_zone) ||
+	    since_us >= bf_report_timing_own_zone.interval_us ||
+	    bf_load_report_due(&mesh->sent_own_zone.load, &state.load,
+		mesh->own_zone_count, since_us)) {
+		report_to_zone(mesh, true, &state,
+		    !bf_node_state_same(&state, &mesh->sent_own_zone), now_us);
 		mesh->sent_own_zone = state;
 		mesh->sent_own_zone_us = now_us;
 	}
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1088,6 +1088,40 @@
 	fixture_free(fixture);
 }
 
+/*
+ * In a zone of 40 nodes a small change of the load, reported by each node to
+ * each other at every tick, cost more than the calls.  What decides between
+ * targets is reported at once in any zone.
+ */
+static void
+test_load_reports(void)
+{
+	const bf_load_t idle = { .running = 1, .slots = 5 };
+	const bf_load_t busier = { .running = 2, .slots = 5 };
+	const bf_load_t last_slot = { .running = 4, .slots = 5 };
+	const bf_load_t full = { .running = 5, .slots = 5 };
+	const bf_load_t waiting = { .running = 5, .waiting = 1, .slots = 5 };
+	const bf_load_t queue = { .running = 5, .waiting = 2, .slots = 5 };
+	const bf_load_t failing = {
+		.running = 1, .slots = 5, .failing_ppm = 200000
+	};
+	const bf_load_t stopped = { .running = 1 };
+	const bf_time_us_t tick_us = 80 * BF_US_PER_MS;
+
+	g_assert_false(bf_load_report_due(&idle, &idle, 40, tick_us));
+	g_assert_false(bf_load_report_due(&idle, &busier, 40, tick_us));
+	g_assert_true(
+	    bf_load_report_due(&idle, &busier, 40, 250 * BF_US_PER_MS));
+	g_assert_true(bf_load_report_due(&idle, &busier, 4, tick_us));
+	g_assert_true(bf_load_report_due(&last_slot, &full, 40, 0));
+	g_assert_true(bf_load_report_due(&full, &last_slot, 40, 0));
+	g_assert_false(bf_load_report_due(&full, &waiting, 40, tick_us));
+	g_assert_true(bf_load_report_due(&full, &queue, 40, 0));
+	g_assert_true(bf_load_report_due(&idle, &last_slot, 40, 0));
+	g_assert_true(bf_load_report_due(&idle, &failing, 40, 0));
+	g_assert_true(bf_load_report_due(&idle, &stopped, 40, 0));
+}
+
 /* A change of the target's state is reported to all zones at once. */
 static void
 test_leaving_reported_at_once(void)
@@ -1372,6 +1406,7 @@
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
 	g_test_add_func("/mesh/good-move", test_good_move);
 	g_test_add_func("/mesh/bad-move", test_bad_move);
+	g_test_add_func("/mesh/load-reports", test_load_reports);
 	g_test_add_func("/mesh/far-told-seldom", test_other_zone_interval);
 	g_test_add_func(
 	    "/mesh/leaving-told-far", test_leaving_reported_at_once);
