Bound a node's reports and redials in large meshes

Every node reported to every other: by its intervals some 500,000 frames a second in all, and dialled each node that had ended, up to once a second for as long as it was listed; leases of 20 s had made that longer. Change: the interval of reports grows with the number of nodes that are told, from 42 nodes a zone and 100 in other zones on; nodes that report more seldom than the probe's delay are probed while calls wait for them. The delay between dials doubles to 8 s, and begins at 3.2 s for a node that announced its stop. A node chooses relays 1 s after its list, joining or not. Ruled out: loads collected by relays for their zone; it would cut more, but what silence means would rest on the relays.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -341,6 +341,16 @@
 	bf_metric_family_t *unsent;      /* bytes queued for other nodes */
 } bf_mesh_metrics_t;
 
+/* How often nodes report to each other, and when silence is a failure. */
+typedef struct bf_report_timing {
+	/* Longest time between reports, so that silence has a meaning. */
+	bf_time_us_t interval_us;
+	/* A silent node is offered calls only if there is no other. */
+	bf_time_us_t silent_after_us;
+	/* The connection is replaced: a new one may work where it does not. */
+	bf_time_us_t lost_after_us;
+} bf_report_timing_t;
+
 struct bf_mesh {
 	bf_mesh_options_t options;
 	char service[BF_NAME_BYTES];
@@ -383,7 +393,10 @@
 	bf_peer_t *peers; /* includes this node */
 	bf_peer_t *self;
 	uint32_t peer_count;
-	uint32_t own_zone_count; /* at the last tick */
+	/* At the last tick. */
+	uint32_t own_zone_count;
+	bf_report_timing_t own_zone_timing;
+	bf_report_timing_t other_zones_timing;
 	bf_inbound_t *inbound;
 	bf_node_state_t sent_own_zone; /* last sent to nodes of the own zone */
 	bf_time_us_t sent_own_zone_us;
@@ -460,18 +473,8 @@
 
 /* mesh/state.c: the states that nodes report to each other. */
 
-/* How often nodes report to each other, and when silence is a failure. */
-typedef struct bf_report_timing {
-	/* Longest time between reports, so that silence has a meaning. */
-	bf_time_us_t interval_us;
-	/* A silent node is offered calls only if there is no other. */
-	bf_time_us_t silent_after_us;
-	/* The connection is replaced: a new one may work where it does not. */
-	bf_time_us_t lost_after_us;
-} bf_report_timing_t;
-
-extern const bf_report_timing_t bf_report_timing_own_zone;
-extern const bf_report_timing_t bf_report_timing_other_zones;
+/* The timing in a mesh with that many nodes in the own or in other zones. */
+bf_report_timing_t bf_report_timing(bool own_zone, uint32_t peer_count);
 
 /* The current state of this node. */
 bf_node_state_t bf_mesh_node_state(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -14,14 +14,24 @@
 #define TICK_PER_PEER_US (2 * BF_US_PER_MS)
 
 /*
- * A node of another zone that holds calls of this node is probed once it has
- * sent nothing for PROBE_AFTER_US.  Without a response within PROBE_TIMEOUT_US
- * it counts as silent, about as soon as a node of the own zone does.
+ * A node that reports more seldom, and holds calls of this node, is probed once
+ * it has sent nothing for PROBE_AFTER_US.  Without a response within
+ * PROBE_TIMEOUT_US it counts as silent, about as soon as a node of a small
+ * zone.
  */
 #define PROBE_AFTER_US (250 * BF_US_PER_MS)
 #define PROBE_TIMEOUT_US (550 * BF_US_PER_MS)
 
 #define CONNECT_TIMEOUT_US BF_US_PER_S
+/*
+ * A node that has ended is listed until its lease ends, and all others dial it.
+ * The delay between their attempts doubles, less a random part of up to one
+ * half.  One that starts again dials them itself, and is dialled at once then.
+ */
+#define REDIAL_FIRST_US (100 * BF_US_PER_MS)
+#define REDIAL_MAX_US (8 * BF_US_PER_S)
+/* Failures that a node counts as having when it has announced its stop. */
+#define REDIAL_FAILURES_STOPPED 5
 /* A peer neither connected nor listed by the store for this long is removed. */
 #define REMOVE_AFTER_US (5 * BF_US_PER_S)
 /*
@@ -330,11 +340,18 @@
 static void
 schedule_redial(bf_peer_t *peer, bf_time_us_t now_us)
 {
+	bf_time_us_t delay_us = REDIAL_FIRST_US;
+	uint32_t i;
+
+	for (i = 0; i < peer->dial_failures && delay_us < REDIAL_MAX_US; i++)
+		delay_us *= 2;
+	if (delay_us > REDIAL_MAX_US)
+		delay_us = REDIAL_MAX_US;
 	peer->dial_failures++;
-	bf_loop_timer_set(peer->mesh->loop, &peer->redial_timer,
-	    now_us +
-		bf_kv_watcher_retry_delay_us(
-		    peer->dial_failures, &peer->mesh->random));
+	delay_us -= (bf_time_us_t)(bf_random_next(&peer->mesh->random) %
+	    (uint64_t)(delay_us / 2));
+	bf_loop_timer_set(
+	    peer->mesh->loop, &peer->redial_timer, now_us + delay_us);
 }
 
 static void
@@ -342,6 +359,9 @@
 {
 	bool was_open = peer->connected;
 
+	if (peer->state_known && peer->state.stopping &&
+	    peer->dial_failures < REDIAL_FAILURES_STOPPED)
+		peer->dial_failures = REDIAL_FAILURES_STOPPED;
 	drop_link(peer);
 	if (was_open) {
 		bf_event(peer->mesh->events, BF_EVENT_PEER_DOWN, now_us,
@@ -767,8 +787,8 @@
 check_silence(bf_peer_t *peer, bf_time_us_t now_us)
 {
 	const bf_report_timing_t *timing = peer->in_own_zone
-	    ? &bf_report_timing_own_zone
-	    : &bf_report_timing_other_zones;
+	    ? &peer->mesh->own_zone_timing
+	    : &peer->mesh->other_zones_timing;
 	bf_time_us_t silence_us;
 
 	if (peer->link == NULL)
@@ -779,7 +799,7 @@
 			lose_link(peer, "connect timed out", now_us);
 		return;
 	}
-	if (!peer->in_own_zone)
+	if (timing->interval_us > PROBE_AFTER_US)
 		probe(peer, now_us);
 	if (silence_us > timing->lost_after_us) {
 		lose_link(peer, "silent", now_us);
@@ -805,6 +825,15 @@
 		remove_peer(peer, now_us);
 }
 
+static void
+set_report_timing(bf_mesh_t *mesh, uint32_t own_zone_count)
+{
+	mesh->own_zone_count = own_zone_count;
+	mesh->own_zone_timing = bf_report_timing(true, own_zone_count);
+	mesh->other_zones_timing =
+	    bf_report_timing(false, mesh->peer_count - own_zone_count);
+}
+
 static void
 on_tick(bf_timer_t *timer, bf_time_us_t now_us)
 {
@@ -823,7 +852,7 @@
 		check_silence(peer, now_us);
 		check_missing(peer, now_us);
 	}
-	mesh->own_zone_count = own_zone_count;
+	set_report_timing(mesh, own_zone_count);
 	bf_target_tick(mesh, now_us);
 	bf_config_source_tick(mesh, now_us);
 	bf_movement_tick(mesh, now_us);
@@ -876,6 +905,7 @@
 	code = add_self(mesh, err);
 	if (code != BF_OK)
 		return code;
+	set_report_timing(mesh, 1);
 	mesh->tick_timer.fire = on_tick;
 	bf_loop_timer_set(mesh->loop, &mesh->tick_timer, now_us + TICK_US);
 	return BF_OK;
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -7,22 +7,36 @@
  * it to which nodes.
  */
 
-const bf_report_timing_t bf_report_timing_own_zone = {
-	.interval_us = 250 * BF_US_PER_MS,
-	.silent_after_us = 700 * BF_US_PER_MS,
-	.lost_after_us = 1600 * BF_US_PER_MS,
-};
-
 /*
- * Between zones load is reported at this interval only, changed or not: the
- * number of reports grows with the square of the number of nodes, and the few
- * calls that leave a zone return the current load with their answers.
+ * Every node reports to every other, so the reports of the mesh grow with the
+ * square of its nodes unless each node's interval grows with their number.  The
+ * longer it is, the more rests on probes, which are sent only while calls wait.
  */
-const bf_report_timing_t bf_report_timing_other_zones = {
-	.interval_us = 2 * BF_US_PER_S,
-	.silent_after_us = 2800 * BF_US_PER_MS,
-	.lost_after_us = 4600 * BF_US_PER_MS,
-};
+#define OWN_ZONE_INTERVAL_MIN_US (250 * BF_US_PER_MS)
+#define OWN_ZONE_INTERVAL_PER_PEER_US (6 * BF_US_PER_MS)
+#define OTHER_ZONES_INTERVAL_MIN_US (2 * BF_US_PER_S)
+#define OTHER_ZONES_INTERVAL_PER_PEER_US (20 * BF_US_PER_MS)
+
+bf_report_timing_t
+bf_report_timing(bool own_zone, uint32_t peer_count)
+{
+	bf_time_us_t interval_us = peer_count *
+	    (own_zone ? OWN_ZONE_INTERVAL_PER_PEER_US
+		      : OTHER_ZONES_INTERVAL_PER_PEER_US);
+	bf_time_us_t min_us =
+	    own_zone ? OWN_ZONE_INTERVAL_MIN_US : OTHER_ZONES_INTERVAL_MIN_US;
+
+	if (interval_us < min_us)
+		interval_us = min_us;
+	/* Of the own zone two reports are missed, of others a part of one. */
+	if (own_zone)
+		return (bf_report_timing_t){ .interval_us = interval_us,
+			.silent_after_us = interval_us * 14 / 5,
+			.lost_after_us = interval_us * 32 / 5 };
+	return (bf_report_timing_t){ .interval_us = interval_us,
+		.silent_after_us = interval_us * 7 / 5,
+		.lost_after_us = interval_us * 23 / 10 };
+}
 
 void
 bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load)
@@ -144,6 +158,8 @@
  * the choice between targets is reported this much later for each of them.
  */
 #define SMALL_CHANGE_PER_PEER_US (6 * BF_US_PER_MS)
+/* One that does affect it is reported sooner. */
+#define CHANGE_PER_PEER_US (3 * BF_US_PER_MS)
 /* A change of the share of failures by this is reported at once. */
 #define FAILING_CHANGE_PPM 100000
 
@@ -163,6 +179,8 @@
 bf_load_report_due(const bf_load_t *sent, const bf_load_t *load,
     uint32_t peer_count, bf_time_us_t since_us)
 {
+	if (since_us < peer_count * CHANGE_PER_PEER_US)
+		return false;
 	if (sent->slots != load->slots ||
 	    has_free_slot(sent) != has_free_slot(load) ||
 	    difference(sent->running, load->running) > 1 ||
@@ -227,7 +245,7 @@
 	bf_time_us_t since_us = now_us - mesh->sent_own_zone_us;
 
 	if (is_urgent(&state, &mesh->sent_own_zone) ||
-	    since_us >= bf_report_timing_own_zone.interval_us ||
+	    since_us >= mesh->own_zone_timing.interval_us ||
 	    bf_load_report_due(&mesh->sent_own_zone.load, &state.load,
 		mesh->own_zone_count, since_us)) {
 		report_to_zone(mesh, true, &state,
@@ -244,7 +262,7 @@
 		state.config_version !=
 		    mesh->sent_other_zones.config_version) ||
 	    now_us - mesh->sent_other_zones_us >=
-		bf_report_timing_other_zones.interval_us) {
+		mesh->other_zones_timing.interval_us) {
 		report_to_zone(mesh, false, &state,
 		    !bf_node_state_same(&state, &mesh->sent_other_zones),
 		    now_us);
--- a/mesh/store_pace.c
+++ b/mesh/store_pace.c
@@ -10,13 +10,11 @@
 /* Somewhat over the interval of the targets' heartbeats. */
 #define FIRST_WRITE_US (1800 * BF_US_PER_MS)
 
-/*
- * Time after the start to discover peers.  When the whole mesh starts for the
- * first time, it is from the list of nodes on, in which they are dialled.
- */
-#define KNOWS_NODES_US (400 * BF_US_PER_MS)
-#define KNOWS_NODES_FIRST_START_US BF_US_PER_S
-#define KNOWS_NODES_MAX_US (5 * BF_US_PER_S)
+/* Time in which the nodes of a list are connected and report their states. */
+#define KNOWS_NODES_US BF_US_PER_S
+/* The store may not answer; after a restart callers are waiting. */
+#define KNOWS_NODES_MAX_US (2 * BF_US_PER_S)
+#define KNOWS_NODES_MAX_FIRST_START_US (5 * BF_US_PER_S)
 
 #define STALE_LISTS_MAX 3
 #define LIST_AGAIN_US BF_US_PER_S
@@ -85,11 +83,9 @@
 {
 	bf_time_us_t up_us = now_us - pace->started_at_us;
 
-	if (!pace->first_start)
-		return up_us >= KNOWS_NODES_US;
-	return up_us >= KNOWS_NODES_MAX_US ||
-	    (listed_at_us != 0 &&
-		now_us - listed_at_us >= KNOWS_NODES_FIRST_START_US);
+	return up_us >= (pace->first_start ? KNOWS_NODES_MAX_FIRST_START_US
+					   : KNOWS_NODES_MAX_US) ||
+	    (listed_at_us != 0 && now_us - listed_at_us >= KNOWS_NODES_US);
 }
 
 uint32_t
