Withstand odd entries, late departures and early heartbeats

What can happen here, each with a test that failed before: - A record of another writer in the place of a node's (far incarnation, other address) cut that node off (mesh/odd-records); one in the place of the own record was not noticed, so that no later node could find this one. - An odd entry in the place of a move's outcome was met by the same conditional write for ever; the move was never completed (mesh/odd-outcome). - Target ids and versions of control characters take six bytes each in JSON: the record outgrew its buffer, and bytes behind it went to the store (mesh/long-record). An id that is not UTF-8 gave an empty record. - A heartbeat with a start or sequence far in the future made those of the real target old ones; a capacity of 2^32 - 1 was believed (platform/odd-heartbeats). - A late departure of a former lifetime of the same id took the new one out of use (mesh/late-departure); the stated start is read now. - After a restart, a heartbeat that came before the own record was read put a target that had left in use again until the next one (mesh/left-before-record). Ruled out, by the same tests: very deep nesting (the parser's limit), ports out of range, wrong types, empty values.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -601,6 +601,8 @@
 
 /* mesh/target.c: calls at the target beside this node. */
 void bf_target_open(bf_mesh_t *mesh);
+/* Takes the target out of use if the record of a former process says so. */
+void bf_target_check_departed(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* from: the connection that the offer came by; NULL: it entered here. */
 void bf_target_offer(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_offer_t *offer, bf_time_us_t now_us);
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -78,10 +78,12 @@
 
 /*
  * Handles the announcement of the target of this id that it is leaving: from
- * now on it is given no new call.
+ * now on it is given no new call.  start_ms: the start of its process as in
+ * bf_heartbeat_t, 0 if unknown; the announcement of a former lifetime of the
+ * same id is ignored.
  */
 void bf_mesh_target_departed(
-    bf_mesh_t *mesh, const char *id, bf_time_us_t now_us);
+    bf_mesh_t *mesh, const char *id, uint64_t start_ms, bf_time_us_t now_us);
 
 /* Starts a graceful shutdown; stopped is called at its end. */
 void bf_mesh_stop(bf_mesh_t *mesh, void (*stopped)(void *ctx), void *ctx,
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -517,6 +517,9 @@
 			    mesh, &reply->items[0], now_us);
 		else
 			tracked->outcome_revision = 0;
+		/* An entry that cannot be read is overwritten. */
+		if (reply->items[0].revision > tracked->outcome_revision)
+			tracked->outcome_revision = reply->items[0].revision;
 	} else {
 		/* Failed, or the result is unknown: the next tick retries. */
 		tracked->has_stored = false;
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/address.h"
 #include "mesh/internal.h"
 
 /*
@@ -18,7 +19,11 @@
 #define REWRITE_DELAY_US (200 * BF_US_PER_MS)
 /* Interval at which nodes are listed again, in case one was missed. */
 #define LIST_INTERVAL_US (12 * BF_US_PER_S)
-#define RECORD_BYTES_MAX 1024
+/* Eight texts of up to 63 bytes, of which each may take six in JSON. */
+#define RECORD_BYTES_MAX 4096
+/* The clocks of two instances differ by seconds at most. */
+#define INCARNATION_AHEAD_MAX_US (24 * 3600 * BF_US_PER_S)
+#define SLOTS_MAX 100000
 
 /* The next call to the store; after a failure it is retried with a delay. */
 typedef enum bf_registration_step {
@@ -70,6 +75,8 @@
 	mesh->member_dirty = false;
 	write.data_bytes = json_dumpb(record, data, sizeof(data), JSON_COMPACT);
 	json_decref(record);
+	if (write.data_bytes > sizeof(data))
+		write.data_bytes = 0; /* refused by every reader */
 	mesh->kv->vtable->write(
 	    mesh->kv, &mesh->member_call, &write, 1, now_us);
 }
@@ -145,7 +152,8 @@
 		&service, "version", &version, "address", &address, "slots",
 		&slots, "draining", &draining, "sequence", &sequence, "born_ms",
 		&start_ms) != 0 ||
-	    id[0] == '\0' || mesh->target.heartbeat.id[0] != '\0')
+	    id[0] == '\0' || mesh->target.heartbeat.id[0] != '\0' ||
+	    slots < 0 || slots > SLOTS_MAX || sequence < 0 || start_ms < 0)
 		return;
 	(void)snprintf(heartbeat.id, sizeof(heartbeat.id), "%s", id);
 	(void)snprintf(
@@ -181,34 +189,79 @@
 		mesh->target.departed_at_us = now_us;
 	}
 	restore_target(mesh, json_object_get(record, "target"), now_us);
+	/* Its heartbeat may have come before the record. */
+	bf_target_check_departed(mesh, now_us);
 	json_decref(record);
 }
 
-/* Adds the node of a listed record; a record that cannot be read is logged. */
+/* What the record of a node says of where it is. */
+typedef struct bf_node_record {
+	const char *address, *zone;
+	json_int_t incarnation;
+} bf_node_record_t;
+
+static bool
+read_node_record(
+    const json_t *json, bf_time_us_t wall_us, bf_node_record_t *record)
+{
+	struct sockaddr_in address;
+
+	return json_unpack((json_t *)(uintptr_t)json, "{s:s,s:s,s:I}",
+		   "address", &record->address, "zone", &record->zone,
+		   "incarnation", &record->incarnation) == 0 &&
+	    bf_address_parse(record->address, &address, NULL) == BF_OK &&
+	    address.sin_port != 0 && strlen(record->zone) < BF_NAME_BYTES &&
+	    strlen(record->address) < BF_ADDRESS_BYTES &&
+	    record->incarnation > 0 &&
+	    record->incarnation < wall_us + INCARNATION_AHEAD_MAX_US;
+}
+
+/*
+ * Handles the own record in a list.  If another writer has replaced it, it is
+ * written again.
+ */
+static void
+check_own_record(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, const bf_node_record_t *record)
+{
+	if (item->revision > mesh->member_revision &&
+	    (record == NULL ||
+		(uint64_t)record->incarnation != mesh->incarnation))
+		mesh->member_dirty = true;
+	mesh->self->listed = true;
+	mesh->member_revision = item->revision;
+}
+
+/*
+ * Adds the node of a listed record; a record that cannot be read is logged.  A
+ * node that answers where it was known is not moved by its record.
+ */
 static void
 add_listed_node(bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
 {
-	const char *instance, *address, *zone;
-	json_int_t incarnation;
+	const char *instance = item->key + strlen(mesh->dialect->member_prefix);
+	bool is_self = strcmp(instance, mesh->self->instance) == 0, is_valid;
+	bf_node_record_t record;
 	bf_peer_t *peer;
-	json_t *record;
-
-	instance = item->key + strlen(mesh->dialect->member_prefix);
-	record = json_loadb(item->data, item->data_bytes, 0, NULL);
-	if (json_unpack(record, "{s:s,s:s,s:I}", "address", &address, "zone",
-		&zone, "incarnation", &incarnation) == 0 &&
-	    strlen(instance) < BF_NAME_BYTES) {
-		peer = bf_roster_add(mesh, instance, zone, address,
-		    (uint64_t)incarnation, now_us);
-		if (peer != NULL)
-			peer->listed = true;
-		if (peer != NULL && peer->self)
-			mesh->member_revision = item->revision;
-	} else {
+	json_t *json;
+
+	json = json_loadb(item->data, item->data_bytes, 0, NULL);
+	is_valid = instance[0] != '\0' && strlen(instance) < BF_NAME_BYTES &&
+	    read_node_record(json, bf_clock_wall_us(), &record);
+	if (is_self)
+		check_own_record(mesh, item, is_valid ? &record : NULL);
+	if (!is_valid)
 		bf_event(mesh->events, BF_EVENT_ENTRY_REFUSED, now_us, "s:s",
 		    "key", item->key);
-	}
-	json_decref(record);
+	peer = bf_roster_find(mesh, instance);
+	if (is_valid && !is_self &&
+	    (peer == NULL || !bf_roster_is_live(peer) ||
+		strcmp(peer->address_text, record.address) == 0))
+		peer = bf_roster_add(mesh, instance, record.zone,
+		    record.address, (uint64_t)record.incarnation, now_us);
+	if (peer != NULL)
+		peer->listed = true;
+	json_decref(json);
 }
 
 static void
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1023,6 +1023,22 @@
 	    target->departed_start_ms == heartbeat->start_ms;
 }
 
+void
+bf_target_check_departed(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+
+	if (target->heartbeat.id[0] == '\0' || target->departed ||
+	    !has_departed(target, &target->heartbeat, now_us))
+		return;
+	target->departed = true;
+	if (target->state == BF_TARGET_READY)
+		target->state = BF_TARGET_DRAINING;
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
+	    target->heartbeat.id, "change", "has left before");
+	bf_mesh_report_changes(mesh, now_us);
+}
+
 bf_code_t
 bf_mesh_heartbeat(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
     bf_time_us_t now_us, bf_error_t *err)
@@ -1065,24 +1081,26 @@
 }
 
 void
-bf_mesh_target_departed(bf_mesh_t *mesh, const char *id, bf_time_us_t now_us)
+bf_mesh_target_departed(
+    bf_mesh_t *mesh, const char *id, uint64_t start_ms, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
-	bool is_current = strcmp(target->heartbeat.id, id) == 0;
+	const bf_heartbeat_t *current = &target->heartbeat;
+	bool is_current = strcmp(current->id, id) == 0;
 
 	/*
 	 * A late announcement of another lifetime must not replace that of the
 	 * current one.
 	 */
-	if (target->departed ||
-	    (!is_current && target->heartbeat.id[0] != '\0'))
+	if (target->departed || (!is_current && current->id[0] != '\0') ||
+	    (is_current && start_ms != 0 && start_ms < current->start_ms))
 		return;
 	target->departed = is_current;
-	target->departed_start_unknown = !is_current;
+	target->departed_start_unknown = !is_current && start_ms == 0;
 	target->departed_at_us = now_us;
 	(void)snprintf(
 	    target->departed_id, sizeof(target->departed_id), "%s", id);
-	target->departed_start_ms = target->heartbeat.start_ms;
+	target->departed_start_ms = is_current ? current->start_ms : start_ms;
 	bf_registry_update(mesh, now_us);
 	if (target->state == BF_TARGET_READY)
 		target->state = BF_TARGET_DRAINING;
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -541,7 +541,7 @@
 	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
 	/* A target that left does not return in the same lifetime. */
 	bf_mesh_target_departed(
-	    fixture->nodes[0], target->id, bf_clock_monotonic_us());
+	    fixture->nodes[0], target->id, 0, bf_clock_monotonic_us());
 	target->sequence = 20;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(
@@ -560,8 +560,8 @@
 {
 	mesh_fixture_t *fixture = new_configured(2);
 
-	bf_mesh_target_departed(
-	    fixture->nodes[0], fixture->targets[0].id, bf_clock_monotonic_us());
+	bf_mesh_target_departed(fixture->nodes[0], fixture->targets[0].id, 0,
+	    bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
 	fixture_restart_node(fixture, 0);
 	fixture_run(fixture, SETTLE_US);
@@ -576,6 +576,153 @@
 	fixture_free(fixture);
 }
 
+/*
+ * As before, but the first heartbeat arrives before the store has returned the
+ * record of the former process.
+ */
+static void
+test_left_before_record(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+
+	bf_mesh_target_departed(fixture->nodes[0], fixture->targets[0].id, 0,
+	    bf_clock_monotonic_us());
+	fixture_run(fixture, SETTLE_US);
+	fixture_restart_node(fixture, 0);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	fixture_free(fixture);
+}
+
+/*
+ * A target may start again under its id.  The announcement that its former
+ * lifetime has left, late, must not take the new one out of use.
+ */
+static void
+test_late_departure(void)
+{
+	mesh_fixture_t *fixture = new_configured(1);
+	fake_target_t *target = &fixture->targets[0];
+	bf_time_us_t now_us = bf_clock_monotonic_us();
+
+	target->start_ms = 2000;
+	target->sequence = 0;
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	bf_mesh_target_departed(fixture->nodes[0], target->id, 1000, now_us);
+	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	bf_mesh_target_departed(fixture->nodes[0], target->id, 2000, now_us);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	fixture_free(fixture);
+}
+
+/*
+ * Entries of another writer among the records of the nodes: none may end the
+ * process, keep it from reading the others, or cut off a node that is there.
+ */
+static void
+test_odd_records(void)
+{
+	static const char *const odd[] = { "", "\x01\xff", "[]", "null", "7",
+		"{\"address\":7,\"zone\":[],\"incarnation\":{}}",
+		"{\"address\":\"127.0.0.1:70000\",\"zone\":\"a\","
+		"\"incarnation\":1}",
+		"{\"address\":\"127.0.0.1:0\",\"zone\":\"a\","
+		"\"incarnation\":1}",
+		"{\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+		"\"incarnation\":99999999999999999999}",
+		"{\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+		"\"incarnation\":9223372036854775807}",
+		"{\"address\":\"127.0.0.1:9\",\"zone\":\"a\","
+		"\"incarnation\":-1}" };
+	mesh_fixture_t *fixture = new_configured(3);
+	g_autofree char *deep = g_strnfill(4000, '[');
+	const bf_peer_t *peer;
+	test_call_t call;
+	char key[32];
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(odd); i++) {
+		(void)snprintf(key, sizeof(key), "members/odd-%zu", i);
+		fixture_put(fixture, key, odd[i]);
+	}
+	fixture_put(fixture, "members/odd-deep", deep);
+	/* In the place of a node's record, and of the reader's own. */
+	fixture_put(fixture, "members/n1", odd[9]);
+	fixture_put(fixture, "members/n0", odd[6]);
+	fixture->nodes[0]->member_step = 2; /* list */
+	bf_loop_timer_set(fixture->loop, &fixture->nodes[0]->member_timer,
+	    bf_clock_monotonic_us());
+	fixture_run(fixture, SETTLE_US);
+	peer = bf_roster_find(fixture->nodes[0], "n1");
+	g_assert_nonnull(peer);
+	g_assert_true(peer->connected);
+	g_assert_cmpuint(peer->incarnation, ==, fixture->nodes[1]->incarnation);
+	g_assert_cmpuint(fixture->nodes[0]->peer_count, ==, 3);
+	call = send_and_await(fixture, "GET", "/read/x", "c1");
+	g_assert_cmpuint(call.status, ==, 200);
+	/* The own record is written again, so that others can find the node. */
+	for (i = 0; i < fixture->store.key_count; i++) {
+		if (strcmp(fixture->store.keys[i].key, "members/n0") == 0)
+			g_assert_nonnull(
+			    strstr(fixture->store.keys[i].data, "\"target\""));
+	}
+	fixture_free(fixture);
+}
+
+/*
+ * Texts of a target that take six bytes each in JSON do not overflow the record
+ * of its node.
+ */
+static void
+test_long_record(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+	bf_own_target_t *target = &fixture->nodes[0]->target;
+	size_t i;
+
+	fixture_run(fixture, SETTLE_US);
+	memset(target->heartbeat.version, 1,
+	    sizeof(target->heartbeat.version) - 1);
+	memset(target->heartbeat.id, 1, sizeof(target->heartbeat.id) - 1);
+	memset(target->departed_id, 1, sizeof(target->departed_id) - 1);
+	bf_registry_update(fixture->nodes[0], bf_clock_monotonic_us());
+	fixture_run(fixture, SETTLE_US);
+	for (i = 0; i < fixture->store.key_count; i++) {
+		if (strcmp(fixture->store.keys[i].key, "members/n0") != 0)
+			continue;
+		g_assert_cmpuint(fixture->store.keys[i].data_bytes, >, 1024);
+		g_assert_cmpint(
+		    fixture->store.keys[i]
+			.data[fixture->store.keys[i].data_bytes - 1],
+		    ==, '}');
+	}
+	fixture_free(fixture);
+}
+
+/*
+ * An odd entry in the place of a move's outcome is overwritten; without that
+ * the move could never be completed.
+ */
+static void
+test_odd_outcome(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+	size_t i;
+
+	fixture_put(fixture, "ops/move/shop", "shop v2 20000");
+	fixture_put(fixture, "out/shop", "\x01 odd");
+	fixture_run(fixture, 2 * BF_US_PER_S);
+	for (i = 0; i < fixture->store.key_count; i++) {
+		if (strcmp(fixture->store.keys[i].key, "out/shop") == 0)
+			g_assert_null(
+			    strstr(fixture->store.keys[i].data, "odd"));
+	}
+	fixture_free(fixture);
+}
+
 static void
 on_stopped(void *ctx)
 {
@@ -633,8 +780,8 @@
 	fixture_run(fixture, SETTLE_US);
 	fixture->store.stale_lists_empty = true;
 	writes = fixture->store.write_count;
-	bf_mesh_target_departed(
-	    fixture->nodes[0], fixture->targets[0].id, bf_clock_monotonic_us());
+	bf_mesh_target_departed(fixture->nodes[0], fixture->targets[0].id, 0,
+	    bf_clock_monotonic_us());
 	fixture_run(fixture, BF_US_PER_S);
 	g_assert_cmpuint(fixture->store.write_count - writes, <=, 2);
 	fixture_free(fixture);
@@ -1385,7 +1532,7 @@
 	fixture_run(fixture, SETTLE_US);
 	fixture_restart_node(fixture, 0);
 	bf_mesh_target_departed(
-	    fixture->nodes[0], "t0", bf_clock_monotonic_us());
+	    fixture->nodes[0], "t0", 0, bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(
 	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
@@ -1425,6 +1572,11 @@
 	g_test_add_func("/mesh/draining", test_draining);
 	g_test_add_func("/mesh/old-heartbeats", test_old_heartbeats);
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
+	g_test_add_func("/mesh/left-before-record", test_left_before_record);
+	g_test_add_func("/mesh/late-departure", test_late_departure);
+	g_test_add_func("/mesh/odd-records", test_odd_records);
+	g_test_add_func("/mesh/long-record", test_long_record);
+	g_test_add_func("/mesh/odd-outcome", test_odd_outcome);
 	g_test_add_func(
 	    "/mesh/target-after-restart", test_target_after_restart);
 	g_test_add_func("/mesh/stale-list", test_stale_list);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -199,6 +199,9 @@
 	"\"a\",\"Version\":\"v1\",\"Capacity\":" slots ",\"State\":\"" state \
 	"\",\"WarmupLeftMs\":0,\"Sequence\":4" rest "}"
 
+/* Somewhat later than the start of the target that the heartbeats state. */
+#define WALL_US (INT64_C(1780682200000) * BF_US_PER_MS)
+
 static void
 test_heartbeat(void)
 {
@@ -212,20 +215,63 @@
 	bf_error_t err;
 	size_t i;
 
-	g_assert_cmpint(bf_platform_decode_heartbeat(
-			    "i-1", text, strlen(text), &heartbeat, &err),
+	g_assert_cmpint(bf_platform_decode_heartbeat("i-1", text, strlen(text),
+			    WALL_US, &heartbeat, &err),
 	    ==, BF_OK);
 	g_assert_cmpstr(heartbeat.id, ==, "i-1");
 	g_assert_true(heartbeat.draining);
 	g_assert_cmpuint(heartbeat.slots, ==, 13);
 	g_assert_cmpuint(heartbeat.start_ms, ==, 1780682195000);
 	for (i = 0; i < G_N_ELEMENTS(refused); i++)
-		g_assert_cmpint(bf_platform_decode_heartbeat("i-1", refused[i],
-				    strlen(refused[i]), &heartbeat, &err),
+		g_assert_cmpint(
+		    bf_platform_decode_heartbeat("i-1", refused[i],
+			strlen(refused[i]), WALL_US, &heartbeat, &err),
 		    !=, BF_OK);
 	g_assert_cmpint(bf_platform_decode_heartbeat(
-			    "", text, strlen(text), &heartbeat, &err),
+			    "", text, strlen(text), WALL_US, &heartbeat, &err),
+	    !=, BF_OK);
+}
+
+/*
+ * A heartbeat of another writer must neither end the process nor be followed by
+ * those of the real target being taken for older ones.
+ */
+static void
+test_odd_heartbeats(void)
+{
+	static const char *const refused[] = {
+		HEARTBEAT("ready", "99999999999999999999", ""),
+		HEARTBEAT("ready", "1e400", ""),
+		HEARTBEAT("ready", "1e300", ""),
+		HEARTBEAT("ready", "4294967295", ""),
+		HEARTBEAT("ready", "13", ",\"born\":1e300"),
+		HEARTBEAT("ready", "13", ",\"born\":18446744073709551615"),
+		HEARTBEAT("ready", "13", ",\"born\":9223372036854775807"),
+		HEARTBEAT("ready", "13", ",\"born\":18446744073709551616.0"),
+		HEARTBEAT("ready", "13", ",\"Sequence\":9"),
+	};
+	static const char good[] = HEARTBEAT("ready", "13", "");
+	static const char *const ids[] = { "i\x01", "i\xff", "i \"1", "\x7f" };
+	GString *deep = g_string_new("{\"Service\":");
+	bf_heartbeat_t heartbeat;
+	bf_error_t err;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(refused); i++)
+		g_assert_cmpint(
+		    bf_platform_decode_heartbeat("i-1", refused[i],
+			strlen(refused[i]), WALL_US, &heartbeat, &err),
+		    !=, BF_OK);
+	for (i = 0; i < G_N_ELEMENTS(ids); i++)
+		g_assert_cmpint(bf_platform_decode_heartbeat(ids[i], good,
+				    strlen(good), WALL_US, &heartbeat, &err),
+		    !=, BF_OK);
+	for (i = 0; i < 200000; i++)
+		g_string_append(deep, i % 2 == 0 ? "[" : "{\"a\":");
+	g_assert_cmpint(bf_platform_decode_heartbeat("i-1", deep->str,
+			    deep->len, WALL_US, &heartbeat, &err),
 	    !=, BF_OK);
+	g_string_free(deep, TRUE);
 }
 
 int
@@ -239,5 +285,6 @@
 	g_test_add_func("/platform/order", test_order);
 	g_test_add_func("/platform/outcome", test_outcome);
 	g_test_add_func("/platform/heartbeat", test_heartbeat);
+	g_test_add_func("/platform/odd-heartbeats", test_odd_heartbeats);
 	return g_test_run();
 }
