Send the results of runs to a leader less often in large meshes

A node that joins read the store itself if it was not connected to all within 150 ms. Change: the interval grows by 1.5 ms a node, to 1 s at most; the time before a node reads the store by 1 ms a listed node. Ruled out: a fixed longer time before the store is read; mesh/herd-start shows that a small mesh would be ready later after a restart of all.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -31,6 +31,8 @@
  * states.
  */
 #define READ_STORE_DELAY_US (150 * BF_US_PER_MS)
+/* More for each node that is listed, to connect to all of them. */
+#define READ_STORE_DELAY_PER_NODE_US BF_US_PER_MS
 /* Time that a relay continues, while its successor reads all keys. */
 #define RELAY_HANDOVER_US (2 * BF_US_PER_S)
 /* Most nodes of a zone compared; in a larger zone more may become relays. */
@@ -504,9 +506,11 @@
 static bool
 should_read_store(const bf_mesh_t *mesh, bf_time_us_t now_us)
 {
+	bf_time_us_t delay_us = READ_STORE_DELAY_US +
+	    mesh->peer_count * READ_STORE_DELAY_PER_NODE_US;
+
 	return mesh->routing == NULL && !mesh->options.first_start &&
-	    now_us - mesh->start_us >= READ_STORE_DELAY_US &&
-	    !peers_have_config(mesh);
+	    now_us - mesh->start_us >= delay_us && !peers_have_config(mesh);
 }
 
 void
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -440,6 +440,7 @@
 	bf_time_us_t orders_listed_us;
 	/* When to list the orders for an unconfirmed version; 0: not. */
 	bf_time_us_t orders_due_us;
+	bf_time_us_t send_runs_after_us; /* to the leader of a move */
 
 	/* Shutdown. */
 	bool stopping;
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -13,6 +13,12 @@
 
 /* Interval at which the leader evaluates each move. */
 #define EVALUATE_INTERVAL_US (200 * BF_US_PER_MS)
+/*
+ * Interval at which the other nodes send it the results of their runs, and how
+ * much longer it is for each node: all of them send to the leader.
+ */
+#define RUNS_INTERVAL_MIN_US (200 * BF_US_PER_MS)
+#define RUNS_INTERVAL_PER_NODE_US (BF_US_PER_MS * 3 / 2)
 /* Interval at which it sends the state of a move that has not changed. */
 #define RESEND_INTERVAL_US (500 * BF_US_PER_MS)
 /*
@@ -601,6 +607,18 @@
 	    &mesh->writer, NULL, now_us);
 }
 
+static bf_time_us_t
+runs_interval_us(const bf_mesh_t *mesh)
+{
+	bf_time_us_t interval_us = mesh->peer_count * RUNS_INTERVAL_PER_NODE_US;
+
+	/* Not past the interval in which the leader looks at recent runs. */
+	if (interval_us > SPAN_US)
+		return SPAN_US;
+	return interval_us > RUNS_INTERVAL_MIN_US ? interval_us
+						  : RUNS_INTERVAL_MIN_US;
+}
+
 void
 bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
@@ -616,9 +634,13 @@
 			continue;
 		tracked->evaluated_at_us = now_us;
 		if (tracked->move.state == BF_MOVE_ACTIVE &&
+		    now_us >= mesh->send_runs_after_us &&
 		    strcmp(tracked->move.service,
-			mesh->target.heartbeat.service) == 0)
+			mesh->target.heartbeat.service) == 0) {
+			mesh->send_runs_after_us =
+			    now_us + runs_interval_us(mesh);
 			send_runs(mesh, now_us);
+		}
 		if (leading)
 			lead_move(tracked, now_us);
 	}
