Keep the newest known revision of the own record

Cause: found on reading the change: an old list lowered the revision that the next write of the own record expects, so that it met a conflict and took a second call. Change: a list only raises it. Comments and one constant are reworded; the number of relays of a zone has one definition again.

--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -314,8 +314,7 @@
 
 	bf_movement_send_all(mesh, link, now_us);
 	for (i = 0; i < mesh->version_count; i++) {
-		/* One that is the first of its service may not be in the list.
-		 */
+		/* The first of a service is confirmed without a list. */
 		if (!mesh->versions[i].confirmed ||
 		    mesh->versions[i].first_seen_us > mesh->orders_listed_us)
 			continue;
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -23,6 +23,7 @@
 #define RECORD_BYTES_MAX 4096
 /* The clocks of two instances differ by seconds at most. */
 #define INCARNATION_AHEAD_MAX_US (24 * 3600 * BF_US_PER_S)
+/* Far above any target's; a record that states more is another writer's. */
 #define SLOTS_MAX 100000
 
 /* The next call to the store; after a failure it is retried with a delay. */
@@ -229,7 +230,9 @@
 		(uint64_t)record->incarnation != mesh->incarnation))
 		mesh->member_dirty = true;
 	mesh->self->listed = true;
-	mesh->member_revision = item->revision;
+	/* An old list has an older one. */
+	if (item->revision > mesh->member_revision)
+		mesh->member_revision = item->revision;
 }
 
 /*
--- a/mesh/relays.h
+++ b/mesh/relays.h
@@ -14,7 +14,10 @@
  * node's link.
  */
 
-/* Two, so that one can fail or be partitioned while the other goes on. */
+/*
+ * Two, so that one can fail or be partitioned while the other goes on; fewer
+ * where other zones stand in, see bf_store_pace_watchers.
+ */
 #define BF_RELAYS_PER_ZONE 2
 
 typedef struct bf_relay_candidate {
--- a/mesh/store_pace.c
+++ b/mesh/store_pace.c
@@ -1,3 +1,4 @@
+#include "mesh/relays.h"
 #include "mesh/store_pace.h"
 
 /* While no other node is known, the store is the only way to find one. */
@@ -91,5 +92,5 @@
 uint32_t
 bf_store_pace_watchers(uint32_t zone_count)
 {
-	return zone_count >= ZONES_STAND_IN ? 1 : 2;
+	return zone_count >= ZONES_STAND_IN ? 1 : BF_RELAYS_PER_ZONE;
 }
