Record a departure soon after the store answers again

The next process restored the target as ready and used it for 0.16 s. Ruled out: the load; the waits are by the code. Change: while the target is leaving, a failed call is repeated as by a node that is alone, within 1.5 s; an update of the record no longer waits for the attempt that is due, whatever its step.

--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -100,6 +100,8 @@
 	return (bf_store_pace_t){ .first_start = mesh->options.first_start,
 		.has_peers = has_connected_peer(mesh),
 		.has_target = mesh->target.heartbeat.id[0] != '\0',
+		.has_departure = mesh->target.state == BF_TARGET_DRAINING ||
+		    mesh->target.departed,
 		.started_at_us = mesh->start_us,
 		.failures = mesh->member_failures,
 		.stale_lists = mesh->stale_lists };
@@ -430,14 +432,12 @@
 {
 	mesh->member_dirty = true;
 	/* If a call is in progress, the record is written after it. */
-	if (mesh->member_call.pending != NULL || mesh->lease == 0)
-		return;
-	/* Else the record is written after the next list. */
-	if (mesh->member_step != BF_REGISTRATION_RENEW &&
-	    mesh->member_step != BF_REGISTRATION_WRITE)
+	if (mesh->member_call.pending != NULL || mesh->member_call.done == NULL)
 		return;
 	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
-	mesh->member_step = BF_REGISTRATION_WRITE;
+	/* Without a lease, one is obtained first. */
+	if (mesh->member_step != BF_REGISTRATION_GRANT)
+		mesh->member_step = BF_REGISTRATION_WRITE;
 	start_call(mesh, now_us);
 }
 
--- a/mesh/store_pace.c
+++ b/mesh/store_pace.c
@@ -41,10 +41,12 @@
 bf_time_us_t
 bf_store_pace_retry_us(const bf_store_pace_t *pace, uint64_t *random)
 {
+	/* Only the record tells the next process that the target has left. */
+	bool is_patient = pace->has_peers && !pace->has_departure;
 	bf_time_us_t delay_us =
-	    pace->has_peers ? RETRY_CONNECTED_FIRST_US : RETRY_ALONE_FIRST_US;
+	    is_patient ? RETRY_CONNECTED_FIRST_US : RETRY_ALONE_FIRST_US;
 	bf_time_us_t max_us =
-	    pace->has_peers ? RETRY_CONNECTED_MAX_US : RETRY_ALONE_MAX_US;
+	    is_patient ? RETRY_CONNECTED_MAX_US : RETRY_ALONE_MAX_US;
 	uint32_t doublings = pace->failures;
 
 	while (doublings-- > 1 && delay_us < max_us)
--- a/mesh/store_pace.h
+++ b/mesh/store_pace.h
@@ -27,6 +27,8 @@
 	bool first_start; /* the whole mesh starts for the first time */
 	bool has_peers;   /* connected to at least one other node */
 	bool has_target;  /* the node's target has announced itself */
+	/* The target has left, and the record may not say so yet. */
+	bool has_departure;
 	bf_time_us_t started_at_us; /* when the node started */
 	uint32_t failures;          /* consecutive, of the last calls */
 	uint32_t stale_lists; /* consecutive lists older than the record */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -596,6 +596,31 @@
 	fixture_free(fixture);
 }
 
+/*
+ * The announcement is acknowledged while the store does not answer.  It is
+ * recorded soon after the store does, before the node may be restarted.
+ */
+static void
+test_left_while_store_down(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+
+	fixture->store.down = true;
+	bf_registry_update(fixture->nodes[0], bf_clock_monotonic_us());
+	fixture_run(fixture, 4 * BF_US_PER_S);
+	bf_mesh_target_departed(fixture->nodes[0], fixture->targets[0].id, 0,
+	    bf_clock_monotonic_us());
+	fixture_run(fixture, 2 * BF_US_PER_S);
+	fixture->store.down = false;
+	fixture_run(fixture, 1700 * BF_US_PER_MS);
+	fixture_restart_node(fixture, 0);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	fixture_free(fixture);
+}
+
 /*
  * A target may start again under its id.  The announcement that its former
  * lifetime has left, late, must not take the new one out of use.
@@ -1660,6 +1685,8 @@
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
 	g_test_add_func("/mesh/left-before-record", test_left_before_record);
 	g_test_add_func("/mesh/late-departure", test_late_departure);
+	g_test_add_func(
+	    "/mesh/left-while-store-down", test_left_while_store_down);
 	g_test_add_func("/mesh/odd-records", test_odd_records);
 	g_test_add_func("/mesh/long-record", test_long_record);
 	g_test_add_func("/mesh/odd-outcome", test_odd_outcome);
--- a/tests/test_store_pace.c
+++ b/tests/test_store_pace.c
@@ -40,6 +40,25 @@
 	}
 }
 
+/*
+ * A connected node whose target has left tries as often as one that is alone: a
+ * longer wait left the next process of the node without that knowledge, and the
+ * target got calls again (soak seed 407).
+ */
+static void
+test_departure(void)
+{
+	bf_store_pace_t pace = {
+		.has_peers = true, .has_departure = true, .failures = 20
+	};
+	uint64_t random = 1;
+	uint32_t i;
+
+	for (i = 0; i < 1000; i++)
+		g_assert_cmpint(bf_store_pace_retry_us(&pace, &random), <=,
+		    1500 * BF_US_PER_MS);
+}
+
 /* After any outage, a node calls again while its lease may still be valid. */
 static void
 test_retry_within_lease(void)
@@ -157,6 +176,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/store-pace/outage", test_outage);
+	g_test_add_func("/store-pace/departure", test_departure);
 	g_test_add_func("/store-pace/within-lease", test_retry_within_lease);
 	g_test_add_func("/store-pace/jitter", test_jitter);
 	g_test_add_func("/store-pace/first-write", test_first_write);
