--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1390,7 +1390,7 @@
 }
 
 /*
- * The reports of one node do not grow with the mesh: in one of 1,300 nodes in
+ * The periodic reports of one node do not grow with the mesh: in one of 1,300 nodes in
  * eight zones it sends fewer than 300 a second, and in a zone as large as the
  * whole of it as well.  Small zones keep the shortest intervals.
  */
