--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1390,9 +1390,9 @@
 }
 
 /*
- * The periodic reports of one node do not grow with the mesh: in one of 1,300 nodes in
- * eight zones it sends fewer than 300 a second, and in a zone as large as the
- * whole of it as well.  Small zones keep the shortest intervals.
+ * The periodic reports of one node do not grow with the mesh: in one of 1,300
+ * nodes in eight zones it sends fewer than 300 a second, and in a zone as large
+ * as the whole of it as well.  Small zones keep the shortest intervals.
  */
 static void
 test_report_timing(void)
