Give a restored target calls only after its health check

The next process found the record of the process before it and put the target in use again: 2 calls in 90 ms after the drain time.

Ruled out: shorter leases (the record of a crashed process has to outlive it), and a time in the record (clocks of instances jump by seconds, and a record as old as a heartbeat can be wrong too).

Change: a target restored from a record is out of use until its health check answers 200 with the recorded id, or its next heartbeat comes. The recorded sequence still keeps older heartbeats from being accepted. The restore moves from registry.c into restore.c; a state that is absent for other reasons is no longer recorded as draining.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -75,6 +75,7 @@
 		.head_timeout_us = limits->head_timeout_ms * BF_US_PER_MS,
 		.idle_timeout_us = limits->idle_timeout_ms * BF_US_PER_MS,
 	    });
+	bf_target_check_health(mesh, now_us);
 }
 
 void
--- a/mesh/dialect.h
+++ b/mesh/dialect.h
@@ -18,6 +18,7 @@
 	const char *caller_service;  /* service of the entry node */
 	const char *not_run;         /* the target did not run the call */
 	const char *target_load;     /* running and waiting calls, slots */
+	const char *target_id;       /* of the target, in its health response */
 
 	/* Keys of the store. */
 	const char *operator_prefix; /* of all keys that operators write */
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -231,7 +231,11 @@
 	bf_target_state_t state;
 	bf_time_us_t heartbeat_at_us;
 	bf_time_us_t warm_at_us; /* end of its warm-up: runs are timed then */
-	bf_time_us_t down_us;    /* unused */
+
+	/* The target of a restored record, which is not known to be ready. */
+	bool awaits_health;
+	bf_http_exchange_t health_exchange;
+	bf_timer_t health_timer;
 
 	/*
 	 * A target that announced its departure gets no calls for the rest of
@@ -602,6 +606,15 @@
 
 /* mesh/target.c: calls at the target beside this node. */
 void bf_target_open(bf_mesh_t *mesh);
+/*
+ * Takes over what a heartbeat says, but not the state of the target.  Fails as
+ * bf_mesh_heartbeat does; accepted: whether it was valid and not outdated.
+ */
+bf_code_t bf_target_accept(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
+    bool *accepted, bf_time_us_t now_us, bf_error_t *err);
+/* Gives the target calls from now on. */
+void bf_target_make_ready(
+    bf_mesh_t *mesh, const char *change, bf_time_us_t now_us);
 /* Takes the target out of use if the record of a former process says so. */
 void bf_target_check_departed(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* from: the connection that the offer came by; NULL: it entered here. */
@@ -628,6 +641,15 @@
 /* Calls that run or wait at the own target. */
 uint32_t bf_target_call_count(const bf_mesh_t *mesh);
 
+/* mesh/restore.c: the target that a former process of this node knew. */
+
+/* Restores the target from the last heartbeat that the record holds. */
+void bf_target_restore(
+    bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us);
+/* Begins the health check of a restored target, once its path is known. */
+void bf_target_check_health(bf_mesh_t *mesh, bf_time_us_t now_us);
+void bf_target_restore_stop(bf_mesh_t *mesh);
+
 /* Codecs of frames that several source files read or write. */
 void bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load);
 void bf_wire_read_load(bf_wire_reader_t *reader, bf_load_t *load);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -153,6 +153,7 @@
 	bf_config_source_stop(mesh);
 	bf_registry_stop(mesh);
 	bf_roster_close(mesh);
+	bf_target_restore_stop(mesh);
 	bf_http_client_reset(&mesh->target.client);
 	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry_timer);
 	bf_loop_timer_cancel(mesh->loop, &mesh->stop_timer);
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -51,8 +51,8 @@
 	    heartbeat->id, "service", heartbeat->service, "version",
 	    heartbeat->version, "address", heartbeat->address, "slots",
 	    (json_int_t)heartbeat->slots, "draining",
-	    (int)(target->state != BF_TARGET_READY), "sequence",
-	    (json_int_t)heartbeat->sequence, "born_ms",
+	    (int)(target->state == BF_TARGET_DRAINING || target->departed),
+	    "sequence", (json_int_t)heartbeat->sequence, "born_ms",
 	    (json_int_t)heartbeat->start_ms);
 }
 
@@ -136,12 +136,7 @@
 	}
 }
 
-/*
- * Restores the target from the record of a former process of this node, so that
- * it gets calls at once and not after its next heartbeat.  If it has ended
- * meanwhile, connections are refused, or another target at its address refuses
- * the calls meant for it.
- */
+/* Reads the target of the record that a former process of this node wrote. */
 static void
 restore_target(bf_mesh_t *mesh, const json_t *object, bf_time_us_t now_us)
 {
@@ -155,8 +150,8 @@
 		&service, "version", &version, "address", &address, "slots",
 		&slots, "draining", &draining, "sequence", &sequence, "born_ms",
 		&start_ms) != 0 ||
-	    id[0] == '\0' || mesh->target.heartbeat.id[0] != '\0' ||
-	    slots < 0 || slots > SLOTS_MAX || sequence < 0 || start_ms < 0)
+	    id[0] == '\0' || slots < 0 || slots > SLOTS_MAX || sequence < 0 ||
+	    start_ms < 0)
 		return;
 	(void)snprintf(heartbeat.id, sizeof(heartbeat.id), "%s", id);
 	(void)snprintf(
@@ -169,7 +164,7 @@
 	heartbeat.draining = draining != 0;
 	heartbeat.sequence = (uint64_t)sequence;
 	heartbeat.start_ms = (uint64_t)start_ms;
-	(void)bf_mesh_heartbeat(mesh, &heartbeat, now_us, NULL);
+	bf_target_restore(mesh, &heartbeat, now_us);
 }
 
 /* Restores the state that a former process of this node recorded. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1044,15 +1044,15 @@
 }
 
 bf_code_t
-bf_mesh_heartbeat(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
-    bf_time_us_t now_us, bf_error_t *err)
+bf_target_accept(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
+    bool *accepted, bf_time_us_t now_us, bf_error_t *err)
 {
 	bf_own_target_t *target = &mesh->target;
-	bf_target_state_t state;
 	bf_code_t code;
 
 	code = check_heartbeat(mesh, heartbeat, err);
-	if (code != BF_OK || !is_newer_heartbeat(target, heartbeat))
+	*accepted = code == BF_OK && is_newer_heartbeat(target, heartbeat);
+	if (!*accepted)
 		return code;
 	if (!is_same_lifetime(&target->heartbeat, heartbeat))
 		begin_lifetime(mesh, heartbeat);
@@ -1066,21 +1066,58 @@
 	    mesh, heartbeat->service, heartbeat->version, now_us);
 	if (has_departed(target, heartbeat, now_us))
 		target->departed = true;
+	return BF_OK;
+}
+
+/* Logs and reports a state that a heartbeat or a health check has shown. */
+static void
+announce_state(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
+{
+	const bf_heartbeat_t *heartbeat = &mesh->target.heartbeat;
+
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us,
+	    "s:s,s:s,s:s,s:s,s:i,s:I,s:I", "target", heartbeat->id, "change",
+	    change, "service", heartbeat->service, "version",
+	    heartbeat->version, "slots", (int)heartbeat->slots, "sequence",
+	    (json_int_t)heartbeat->sequence, "born_ms",
+	    (json_int_t)heartbeat->start_ms);
+	bf_registry_update(mesh, now_us);
+	bf_mesh_report_changes(mesh, now_us);
+}
+
+void
+bf_target_make_ready(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+
+	target->state = BF_TARGET_READY;
+	target->queue.slots = target->heartbeat.slots;
+	announce_state(mesh, change, now_us);
+}
+
+bf_code_t
+bf_mesh_heartbeat(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
+    bf_time_us_t now_us, bf_error_t *err)
+{
+	bf_own_target_t *target = &mesh->target;
+	bf_target_state_t state;
+	bool accepted;
+	bf_code_t code;
+
+	code = bf_target_accept(mesh, heartbeat, &accepted, now_us, err);
+	if (!accepted)
+		return code;
+	target->awaits_health = false;
 	state = heartbeat->draining || target->departed ? BF_TARGET_DRAINING
 							: BF_TARGET_READY;
 	if (state == target->state)
 		return BF_OK;
+	if (state == BF_TARGET_READY) {
+		bf_target_make_ready(mesh, "ready", now_us);
+		return BF_OK;
+	}
 	target->state = state;
-	if (state == BF_TARGET_READY)
-		target->queue.slots = heartbeat->slots;
-	bf_event(mesh->events, BF_EVENT_TARGET, now_us,
-	    "s:s,s:s,s:s,s:s,s:i,s:I,s:I", "target", heartbeat->id, "change",
-	    heartbeat->draining ? "draining" : "ready", "service",
-	    heartbeat->service, "version", heartbeat->version, "slots",
-	    (int)heartbeat->slots, "sequence", (json_int_t)heartbeat->sequence,
-	    "born_ms", (json_int_t)heartbeat->start_ms);
-	bf_registry_update(mesh, now_us);
-	bf_mesh_report_changes(mesh, now_us);
+	announce_state(mesh, "draining", now_us);
 	return BF_OK;
 }
 
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -120,6 +120,7 @@
 	.caller_service = "From-Service",
 	.not_run = "Not-Run",
 	.target_load = "Load",
+	.target_id = "Target-Id",
 	.operator_prefix = "ops/",
 	.config_key = "ops/config",
 	.order_prefix = "ops/move/",
@@ -583,6 +584,18 @@
 	bf_tcp_schedule_flush(&connection->tcp);
 }
 
+static void
+answer_health_check(target_connection_t *connection)
+{
+	fake_target_t *target = connection->target;
+
+	target->health_checks++;
+	bf_bytes_format(&connection->tcp.out,
+	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\nContent-Length: 0\r\n\r\n",
+	    target->unhealthy ? 503 : 200, target->id);
+	bf_tcp_schedule_flush(&connection->tcp);
+}
+
 static void
 on_target_message(bf_http_reader_t *reader, bf_http_message_t *message)
 {
@@ -593,6 +606,10 @@
 
 	bf_http_message_free(connection->message);
 	connection->message = message;
+	if (strcmp(bf_http_target(message), "/health") == 0) {
+		answer_health_check(connection);
+		return;
+	}
 	if (expected == NULL || strcmp(expected, target->id) != 0) {
 		send_answer(connection, 421, "", "", "", 0);
 		return;
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -58,6 +58,8 @@
 	char id[BF_NAME_BYTES];
 	target_behaviour_t behaviour;
 	bf_time_us_t delay_us; /* from a request to the behaviour */
+	bool unhealthy;        /* its health check fails, as when it leaves */
+	uint32_t health_checks;
 	uint32_t running;
 	uint32_t running_max;
 	uint64_t endless_bytes; /* sent by the endless behaviours */
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -86,10 +86,18 @@
 	const char *id = bf_http_find(request->message, "Request-Id");
 	const char *expected =
 	    bf_http_find(request->message, "Expected-Instance");
+	char fields[64];
 	gint32 work_ms;
 	gint *count;
 	run_t *run;
 
+	if (strcmp(bf_http_target(request->message), "/health") == 0) {
+		(void)g_snprintf(
+		    fields, sizeof(fields), "Instance-Id: %s\r\n", target->id);
+		bf_http_answer(
+		    request, target->draining ? 503 : 200, fields, "", 0);
+		return;
+	}
 	if (id == NULL)
 		id = "";
 	if (expected == NULL || strcmp(expected, target->id) != 0) {
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -621,6 +621,33 @@
 	fixture_free(fixture);
 }
 
+/*
+ * The announcement is acknowledged by a process that gets no answer of the
+ * store and is followed by another, which finds the older record of a ready
+ * target.  It must not give that target calls.
+ */
+static void
+test_left_unrecorded(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+
+	fixture_run(fixture, SETTLE_US);
+	fixture->store.down = true;
+	fixture_restart_node(fixture, 0);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	fixture->targets[0].unhealthy = true;
+	fixture_run(fixture, SETTLE_US);
+	fixture->store.down = false;
+	fixture_restart_node(fixture, 0);
+	fixture_run(fixture, 2 * BF_US_PER_S);
+	g_assert_cmpint(fixture->nodes[0]->target.state, !=, BF_TARGET_READY);
+	/* Its record still keeps an older heartbeat from being accepted. */
+	fixture->targets[0].sequence = 0;
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(fixture->nodes[0]->target.state, !=, BF_TARGET_READY);
+	fixture_free(fixture);
+}
+
 /*
  * A target may start again under its id.  The announcement that its former
  * lifetime has left, late, must not take the new one out of use.
@@ -1684,6 +1711,7 @@
 	g_test_add_func("/mesh/old-heartbeats", test_old_heartbeats);
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
 	g_test_add_func("/mesh/left-before-record", test_left_before_record);
+	g_test_add_func("/mesh/left-unrecorded", test_left_unrecorded);
 	g_test_add_func("/mesh/late-departure", test_late_departure);
 	g_test_add_func(
 	    "/mesh/left-while-store-down", test_left_while_store_down);
