Keep calls at a silent node until its process is known to have ended

The node beside the target then ended the run, and its entry answered an at-most-once call with 502, though the node had only been silent.

Ruled out: longer limits (a connection that is silent for good has to be replaced for new calls), and waiting on the silent connection alone (the reply may never come by it).

Change: the entry keeps the silent connection and dials a new one. The node beside the target moves the calls of the process to the new connection and replies by it. The calls are lost only if the dial is refused or another process answers. Offers without their whole body are offered elsewhere. Protocol version 2; beside older nodes replies are awaited on the old connection.

/mesh/silent-link failed before (502); /mesh/silent-process holds the other case.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -762,17 +762,19 @@
 	bf_peer_t *peer = call->peer;
 	uint64_t offer_id = call->offer_id;
 	bf_time_us_t reverse_transit_us;
+	bf_mesh_link_t *link;
 
 	if (peer == NULL)
 		return;
 	clear_offer(call);
 	if (peer->self)
 		bf_target_cancel(mesh, NULL, offer_id, now_us, now_us);
-	else if (peer->connected) {
-		if (bf_mesh_link_min_transit(peer->link, &reverse_transit_us))
+	else if ((link = peer->connected ? peer->link : peer->silent_link) !=
+	    NULL) {
+		if (bf_mesh_link_min_transit(link, &reverse_transit_us))
 			bf_wire_write_uint(
 			    &mesh->writer, (uint64_t)reverse_transit_us);
-		bf_mesh_link_send(peer->link, BF_FRAME_CANCEL, offer_id,
+		bf_mesh_link_send(link, BF_FRAME_CANCEL, offer_id,
 		    &mesh->writer, NULL, now_us);
 	}
 }
@@ -800,7 +802,7 @@
 }
 
 void
-bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us)
+bf_entry_peer_lost(bf_peer_t *peer, bf_peer_loss_t loss, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = peer->mesh;
 	bf_entry_call_t *call;
@@ -822,11 +824,13 @@
 	}
 	for (i = 0; i < lost->nelts; i++) {
 		call = APR_ARRAY_IDX(lost, i, bf_entry_call_t *);
-		if (!gone) {
+		if (loss == BF_PEER_SILENT) {
 			reoffer_from_silent(call, now_us);
 			continue;
 		}
 		not_run = lacks_body(call);
+		if (loss == BF_PEER_REPLACED && !not_run)
+			continue; /* the peer has it still */
 		cancel_offer(call, now_us);
 		if (not_run) {
 			call->cause = BF_CAUSE_PEER_LOST;
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -52,6 +52,11 @@
  * target to an entry.
  */
 #define BF_PROTOCOL_1 1
+/*
+ * Version 2: a node whose connection is replaced by another one of the same
+ * process keeps the calls that came by the former one, and replies by the new.
+ */
+#define BF_PROTOCOL_2 2
 
 /* State of a node and its target, as reported to the other nodes. */
 typedef struct bf_node_state {
@@ -89,6 +94,14 @@
 	bool silent;    /* nothing was received for a while */
 	bf_path_delay_t path_delay;
 	uint32_t outstanding_offers;
+	/*
+	 * The former connection was lost after a silence.  Calls sent over it
+	 * may still be answered, by it (silent_link, unless it is closed) or by
+	 * link.
+	 */
+	bool holds_calls;
+	uint64_t held_incarnation; /* of the process that has them */
+	bf_mesh_link_t *silent_link;
 	bf_time_us_t probe_sent_us; /* first unanswered probe; 0: none */
 	uint32_t dial_failures;     /* consecutive */
 	bf_timer_t redial_timer;
@@ -117,7 +130,8 @@
 typedef struct bf_inbound {
 	bf_mesh_link_t link; /* first member */
 	bf_mesh_t *mesh;
-	bf_peer_t *peer; /* NULL before its hello */
+	bf_peer_t *peer;      /* NULL before its hello */
+	uint64_t incarnation; /* of the peer, as of its hello */
 	struct bf_inbound *next;
 	struct bf_inbound **previous;
 	bf_target_call_t *calls; /* received on this connection */
@@ -593,11 +607,16 @@
 bf_code_t bf_entry_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err);
 void bf_entry_handle_reply(bf_mesh_t *mesh, uint64_t offer_id,
     const bf_reply_t *reply, bf_time_us_t now_us);
-/*
- * Deals with the calls offered to a peer whose connection is closed (gone), or
- * that has been silent for a while.
- */
-void bf_entry_peer_lost(bf_peer_t *peer, bool gone, bf_time_us_t now_us);
+/* What became of a peer that holds calls. */
+typedef enum bf_peer_loss {
+	BF_PEER_SILENT,   /* nothing was received from it for a while */
+	BF_PEER_REPLACED, /* it answers again, by a new connection */
+	BF_PEER_GONE      /* its process, or the only connection to it */
+} bf_peer_loss_t;
+
+/* Deals with the calls offered to the peer before. */
+void bf_entry_peer_lost(
+    bf_peer_t *peer, bf_peer_loss_t loss, bf_time_us_t now_us);
 /* Sends a part of the body of a call that was offered to the peer. */
 void bf_entry_send_body(bf_peer_t *peer, uint64_t offer_id, size_t offset,
     size_t bytes, bf_time_us_t now_us);
@@ -628,6 +647,11 @@
 /* Receives a part of the body of an offered call. */
 void bf_target_receive_body(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_frame_t *frame, bf_time_us_t now_us);
+/*
+ * Moves the calls that came by one connection of a process to another one of
+ * the same process.  Calls whose body is incomplete stay: parts may be lost.
+ */
+void bf_target_adopt_calls(bf_inbound_t *from, bf_inbound_t *to);
 /* Cancels all calls that came by a connection, which has closed. */
 void bf_target_cancel_from(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -162,6 +162,33 @@
 	bf_config_source_request(peer, now_us);
 }
 
+static void
+close_silent_link(bf_peer_t *peer)
+{
+	if (peer->silent_link == NULL)
+		return;
+	bf_mesh_link_abort(peer->silent_link);
+	bf_loop_defer_free(peer->mesh->loop, peer->silent_link);
+	peer->silent_link = NULL;
+}
+
+/*
+ * Decides on the calls sent before the connection was replaced, by the first
+ * state that the peer reports on the new one.
+ */
+static void
+settle_held_calls(bf_peer_t *peer, bf_time_us_t now_us)
+{
+	bool same_process = peer->state.incarnation == peer->held_incarnation;
+
+	if (same_process && peer->state.protocol < BF_PROTOCOL_2)
+		return; /* it replies by the silent connection only */
+	peer->holds_calls = false;
+	close_silent_link(peer);
+	bf_entry_peer_lost(
+	    peer, same_process ? BF_PEER_REPLACED : BF_PEER_GONE, now_us);
+}
+
 static void
 apply_state(bf_peer_t *peer, const bf_node_state_t *state, bf_time_us_t now_us)
 {
@@ -179,6 +206,8 @@
 		    (int)state->target_state, "stopping", (int)state->stopping,
 		    "config_version", (json_int_t)state->config_version);
 	peer->state_known = true;
+	if (peer->holds_calls)
+		settle_held_calls(peer, now_us);
 	peer->version_unconfirmed = bf_movement_record_version(
 	    peer->mesh, state->service, state->version, now_us);
 	request_newer_config(peer, now_us);
@@ -273,10 +302,16 @@
 	uint64_t offset, bytes;
 	bf_load_t load;
 
+	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
+	if (link == peer->silent_link) {
+		/* The new connection carries all else. */
+		if (frame->kind == BF_FRAME_REPLY)
+			receive_reply(peer, frame, &reader, now_us);
+		return;
+	}
 	peer->silent = false;
 	peer->probe_sent_us = 0;
 	record_frame_delay(peer->mesh, peer, frame, now_us);
-	bf_wire_reader_init(&reader, frame->payload, frame->payload_bytes);
 	switch (frame->kind) {
 	case BF_FRAME_STATE:
 		bf_node_state_read(&reader, &state);
@@ -354,27 +389,64 @@
 	    peer->mesh->loop, &peer->redial_timer, now_us + delay_us);
 }
 
+/* Ends the connection, or the attempt to open one, and the calls of both. */
 static void
 lose_link(bf_peer_t *peer, const char *reason, bf_time_us_t now_us)
 {
-	bool was_open = peer->connected;
+	bool had_calls = peer->connected || peer->holds_calls;
 
 	if (peer->state_known && peer->state.stopping &&
 	    peer->dial_failures < REDIAL_FAILURES_STOPPED)
 		peer->dial_failures = REDIAL_FAILURES_STOPPED;
-	drop_link(peer);
-	if (was_open) {
+	if (peer->link != NULL)
+		drop_link(peer);
+	close_silent_link(peer);
+	peer->holds_calls = false;
+	if (had_calls) {
 		bf_event(peer->mesh->events, BF_EVENT_PEER_DOWN, now_us,
 		    "s:s,s:s", "peer", peer->instance, "reason", reason);
-		bf_entry_peer_lost(peer, true, now_us);
+		bf_entry_peer_lost(peer, BF_PEER_GONE, now_us);
 	}
 	schedule_redial(peer, now_us);
 }
 
+/*
+ * Replaces a connection that was silent for long.  The peer may only be slow or
+ * cut off, so it keeps the calls that it has: they are lost if its process
+ * proves to have ended.  keep_open: replies may still come by the connection.
+ */
+static void
+replace_link(bf_peer_t *peer, bool keep_open, bf_time_us_t now_us)
+{
+	bf_event(peer->mesh->events, BF_EVENT_PEER_DOWN, now_us, "s:s,s:s",
+	    "peer", peer->instance, "reason", "silent");
+	close_silent_link(peer);
+	peer->holds_calls = true;
+	if (peer->state_known)
+		peer->held_incarnation = peer->state.incarnation;
+	if (keep_open) {
+		peer->silent_link = peer->link;
+		peer->link = NULL;
+		peer->connected = false;
+		peer->state_known = false;
+	} else {
+		drop_link(peer);
+	}
+	dial(peer, now_us);
+}
+
 static void
 on_peer_ended(bf_mesh_link_t *link, bf_time_us_t now_us)
 {
-	lose_link(link->owner, "connection closed", now_us);
+	bf_peer_t *peer = link->owner;
+
+	if (link == peer->silent_link)
+		close_silent_link(peer);
+	else if (peer->connected && peer->silent &&
+	    peer->outstanding_offers > 0)
+		replace_link(peer, false, now_us);
+	else
+		lose_link(peer, "connection closed", now_us);
 }
 
 static void
@@ -493,7 +565,7 @@
 	peer->address = parsed;
 	peer->in_own_zone = strcmp(zone, mesh->self->zone) == 0;
 	/* A new process: the calls that its former one held are lost. */
-	if (peer->link != NULL)
+	if (peer->link != NULL || peer->holds_calls)
 		lose_link(peer, "peer process restarted", now_us);
 	peer->incarnation = incarnation;
 	peer->missing_since_us = 0;
@@ -518,7 +590,8 @@
 	    peer->instance);
 	if (peer->link != NULL)
 		drop_link(peer);
-	bf_entry_peer_lost(peer, true, now_us);
+	close_silent_link(peer);
+	bf_entry_peer_lost(peer, BF_PEER_GONE, now_us);
 	for (inbound = mesh->inbound; inbound != NULL;
 	     inbound = inbound->next) {
 		if (inbound->peer == peer)
@@ -552,6 +625,7 @@
 	char instance[BF_NAME_BYTES], zone[BF_NAME_BYTES];
 	char address[BF_ADDRESS_BYTES];
 	bf_mesh_t *mesh = inbound->mesh;
+	bf_inbound_t *former;
 	bf_node_state_t state;
 	uint64_t incarnation;
 	bf_peer_t *peer;
@@ -567,8 +641,15 @@
 	if (peer == NULL || peer->self)
 		return;
 	inbound->peer = peer;
+	inbound->incarnation = incarnation;
+	former = peer->inbound;
 	peer->inbound = inbound;
 	peer->missing_since_us = 0;
+	if (former != NULL && former != inbound &&
+	    former->incarnation == incarnation) {
+		bf_target_adopt_calls(former, inbound);
+		drop_inbound(former, now_us);
+	}
 	state = bf_mesh_node_state(mesh, now_us);
 	bf_node_state_send(mesh, &inbound->link, &state, now_us);
 	if (mesh->relay && peer->in_own_zone)
@@ -791,31 +872,41 @@
 	    : &peer->mesh->other_zones_timing;
 	bf_time_us_t silence_us;
 
+	if (peer->holds_calls && peer->outstanding_offers == 0) {
+		peer->holds_calls = false;
+		close_silent_link(peer);
+	}
 	if (peer->link == NULL)
 		return;
 	silence_us = now_us - peer->link->last_received_at_us;
 	if (!peer->connected) {
-		if (silence_us > CONNECT_TIMEOUT_US)
-			lose_link(peer, "connect timed out", now_us);
+		if (silence_us <= CONNECT_TIMEOUT_US)
+			return;
+		drop_link(peer);
+		schedule_redial(peer, now_us);
 		return;
 	}
 	if (timing->interval_us > PROBE_AFTER_US)
 		probe(peer, now_us);
-	if (silence_us > timing->lost_after_us) {
+	if (silence_us > timing->lost_after_us &&
+	    peer->outstanding_offers > 0) {
+		replace_link(peer, true, now_us);
+	} else if (silence_us > timing->lost_after_us) {
 		lose_link(peer, "silent", now_us);
 	} else if (!peer->silent &&
 	    (silence_us > timing->silent_after_us ||
 		(peer->probe_sent_us != 0 &&
 		    now_us - peer->probe_sent_us > PROBE_TIMEOUT_US))) {
 		peer->silent = true;
-		bf_entry_peer_lost(peer, false, now_us);
+		bf_entry_peer_lost(peer, BF_PEER_SILENT, now_us);
 	}
 }
 
 static void
 check_missing(bf_peer_t *peer, bf_time_us_t now_us)
 {
-	if (peer->self || peer->connected || peer->listed) {
+	if (peer->self || peer->connected || peer->listed ||
+	    peer->holds_calls) {
 		peer->missing_since_us = 0;
 		return;
 	}
@@ -925,6 +1016,7 @@
 		bf_loop_timer_cancel(mesh->loop, &peer->redial_timer);
 		if (peer->link != NULL)
 			drop_link(peer);
+		close_silent_link(peer);
 		bf_loop_defer_free(mesh->loop, peer);
 	}
 }
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -73,7 +73,7 @@
 		    ? bf_routing_version(mesh->routing)
 		    : 0,
 		.load = bf_target_load(mesh, now_us),
-		.protocol = BF_PROTOCOL_1,
+		.protocol = BF_PROTOCOL_2,
 	};
 
 	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -208,11 +208,27 @@
 }
 
 static void
-free_call(bf_target_call_t *call)
+link_call(bf_target_call_t *call, bf_target_call_t **list)
+{
+	call->next = *list;
+	if (call->next != NULL)
+		call->next->previous = &call->next;
+	call->previous = list;
+	*list = call;
+}
+
+static void
+unlink_call(bf_target_call_t *call)
 {
 	*call->previous = call->next;
 	if (call->next != NULL)
 		call->next->previous = call->previous;
+}
+
+static void
+free_call(bf_target_call_t *call)
+{
+	unlink_call(call);
 	bf_loop_timer_cancel(call->mesh->loop, &call->timeout);
 	if (call->receiving)
 		bf_body_pulls_remove(&call->mesh->target.pulls, &call->pull);
@@ -693,7 +709,7 @@
 new_call(bf_mesh_t *mesh, bf_inbound_t *from, const bf_offer_t *offer,
     bf_time_us_t now_us)
 {
-	bf_target_call_t *call, **list;
+	bf_target_call_t *call;
 
 	call = calloc(1, sizeof(*call));
 	if (call == NULL)
@@ -723,12 +739,8 @@
 	(void)snprintf(call->route, sizeof(call->route), "%s", offer->route);
 	(void)snprintf(
 	    call->target, sizeof(call->target), "%s", offer->target_id);
-	list = from != NULL ? &from->calls : &mesh->target.local_calls;
-	call->next = *list;
-	if (call->next != NULL)
-		call->next->previous = &call->next;
-	call->previous = list;
-	*list = call;
+	link_call(
+	    call, from != NULL ? &from->calls : &mesh->target.local_calls);
 	return call;
 }
 
@@ -929,6 +941,21 @@
 		cancel_call(from->calls, now_us, now_us);
 }
 
+void
+bf_target_adopt_calls(bf_inbound_t *from, bf_inbound_t *to)
+{
+	bf_target_call_t *call, *next;
+
+	for (call = from->calls; call != NULL; call = next) {
+		next = call->next;
+		if (call->receiving)
+			continue;
+		unlink_call(call);
+		call->from = to;
+		link_call(call, &to->calls);
+	}
+}
+
 void
 bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1617,6 +1617,57 @@
 	fixture_free(fixture);
 }
 
+/*
+ * A connection that is silent for good is replaced while a call that must run
+ * at most once is at work behind it.  The run goes on and its answer comes by
+ * the new connection.
+ */
+static void
+test_silent_link_replaced(void)
+{
+	mesh_fixture_t *fixture = fixture_new_with_links(3, 12500000);
+	const fake_target_t *target = &fixture->targets[2];
+	test_call_t call;
+
+	fixture_configure(fixture, "5\n/once/ unsafe shop 5000 4000 1 2\n");
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
+	fixture->targets[2].delay_us = 3 * BF_US_PER_S;
+	fixture_run(fixture, SETTLE_US);
+	fixture_send(fixture, &call, 0, "POST", "/once/x", "s1", 5000, 0);
+	fixture_run(fixture, 100 * BF_US_PER_MS);
+	g_assert_cmpuint(target->run_count, ==, 1);
+	soak_proxy_silence(&fixture->links[2]);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 200);
+	g_assert_cmpuint(target->run_count, ==, 1);
+	g_assert_false(target->runs[0].closed_early);
+	fixture_free(fixture);
+}
+
+/* As before, but the silent node's process ended: its calls are lost. */
+static void
+test_silent_process_ended(void)
+{
+	mesh_fixture_t *fixture = fixture_new_with_links(3, 12500000);
+	test_call_t call;
+
+	fixture_configure(fixture, "5\n/once/ unsafe shop 9000 4000 1 2\n");
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
+	fixture->targets[2].delay_us = 8 * BF_US_PER_S;
+	fixture_run(fixture, SETTLE_US);
+	fixture_send(fixture, &call, 0, "POST", "/once/x", "s1", 9000, 0);
+	fixture_run(fixture, 100 * BF_US_PER_MS);
+	soak_proxy_silence(&fixture->links[2]);
+	fixture_restart_node(fixture, 2);
+	g_assert_true(fixture_await(fixture, &call, 1, 5 * BF_US_PER_S));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 502);
+	fixture_free(fixture);
+}
+
 /* Nodes that all restart at the same time read the store without delay. */
 static void
 test_simultaneous_start(void)
@@ -1752,6 +1803,8 @@
 	g_test_add_func("/mesh/orders-by-relays", test_orders_by_relays);
 	g_test_add_func("/mesh/far-cut", test_partitioned_node);
 	g_test_add_func("/mesh/silent-answers", test_silent_node_answers);
+	g_test_add_func("/mesh/silent-link", test_silent_link_replaced);
+	g_test_add_func("/mesh/silent-process", test_silent_process_ended);
 	g_test_add_func("/mesh/herd-start", test_simultaneous_start);
 	g_test_add_func("/mesh/left-during-stop", test_left_during_stop);
 	g_test_add_func("/mesh/left-before-known", test_left_before_heartbeat);
