Let a few nodes read the configuration at once when all restart

Callers were told to come back after 0.1 to 0.2 s, which used up their one retry.

Ruled out: a shorter delay for all nodes (the link of the store is then busy for as long), an old copy of the configuration (it may be older than one in force).

Change: records state the link of their node. As soon as a restarted node has listed them, it knows whether it is one of the first three of its zone by link and name, and reads the store; the others get the configuration from these, or read the store 0.25 s later than before. Without a configuration or a target Retry-After is the expected time until this is over, 0.9 s after the start, and jitter is at most 0.4 s.

/mesh/first-readers and /mesh/retry-after-start failed before.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -33,6 +33,16 @@
 #define READ_STORE_DELAY_US (150 * BF_US_PER_MS)
 /* More for each node that is listed, to connect to all of them. */
 #define READ_STORE_DELAY_PER_NODE_US BF_US_PER_MS
+/*
+ * A node without a configuration waits this much longer for that of a peer,
+ * which may have to send it to many.
+ */
+#define AWAIT_PEERS_US (250 * BF_US_PER_MS)
+/*
+ * Nodes of a zone that read the store as soon as they have listed the records
+ * after a restart of all, for the others of the zone.
+ */
+#define FIRST_READERS_PER_ZONE 3
 /* Time that a relay continues, while its successor reads all keys. */
 #define RELAY_HANDOVER_US (2 * BF_US_PER_S)
 /* Most nodes of a zone compared; in a larger zone more may become relays. */
@@ -461,9 +471,12 @@
 	return count;
 }
 
-/* Whether this node is one of the relays of its zone. */
+/*
+ * Whether this node is one of the relays of its zone.  by_records: nodes that
+ * are not connected yet are judged by their records.
+ */
 static bool
-should_relay(bf_mesh_t *mesh)
+should_relay(bf_mesh_t *mesh, bool by_records)
 {
 	bf_relay_candidate_t candidates[CANDIDATES_MAX];
 	const bf_peer_t *peer;
@@ -476,16 +489,22 @@
 		    .is_self = true };
 	for (peer = mesh->peers; peer != NULL && count < CANDIDATES_MAX;
 	     peer = peer->next) {
-		if (peer->self || !peer->in_own_zone ||
-		    !bf_roster_is_live(peer))
+		if (peer->self || !peer->in_own_zone)
 			continue;
-		candidates[count++] =
-		    (bf_relay_candidate_t){ .instance = peer->instance,
-			    .link_mbps = peer->state.link_mbps,
-			    .store_answers = peer->state.store_up };
+		if (bf_roster_is_live(peer))
+			candidates[count++] =
+			    (bf_relay_candidate_t){ .instance = peer->instance,
+				    .link_mbps = peer->state.link_mbps,
+				    .store_answers = peer->state.store_up };
+		else if (by_records && peer->listed)
+			candidates[count++] =
+			    (bf_relay_candidate_t){ .instance = peer->instance,
+				    .link_mbps = peer->listed_link_mbps,
+				    .store_answers = true };
 	}
 	return bf_relays_include_self(candidates, count,
-	    bf_store_pace_watchers(connected_zone_count(mesh)));
+	    by_records ? FIRST_READERS_PER_ZONE
+		       : bf_store_pace_watchers(connected_zone_count(mesh)));
 }
 
 /* Whether a peer can send a configuration. */
@@ -504,8 +523,8 @@
 
 /*
  * Whether this node reads the store although it is no relay, because no peer
- * has a configuration.  Not when the whole mesh starts for the first time, as
- * there are no callers yet.
+ * has a configuration, or none has sent it in time.  Not when the whole mesh
+ * starts for the first time, as there are no callers yet.
  */
 static bool
 should_read_store(const bf_mesh_t *mesh, bf_time_us_t now_us)
@@ -513,22 +532,30 @@
 	bf_time_us_t delay_us = READ_STORE_DELAY_US +
 	    mesh->peer_count * READ_STORE_DELAY_PER_NODE_US;
 
-	return mesh->routing == NULL && !mesh->options.first_start &&
-	    now_us - mesh->start_us >= delay_us && !peers_have_config(mesh);
+	bf_time_us_t up_us = now_us - mesh->start_us;
+
+	if (mesh->routing != NULL || mesh->options.first_start)
+		return false;
+	return up_us >= delay_us + AWAIT_PEERS_US ||
+	    (up_us >= delay_us && !peers_have_config(mesh));
 }
 
 void
 bf_config_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_store_pace_t pace;
-	bool chosen;
+	bool by_records, chosen;
 
 	if (mesh->stopping || now_us < mesh->relay_check_after_us)
 		return;
 	mesh->relay_check_after_us = now_us + RELAY_CHECK_US;
 	pace = bf_registry_pace(mesh);
-	chosen = bf_store_pace_knows_nodes(&pace, mesh->listed_at_us, now_us) &&
-	    should_relay(mesh);
+	by_records = mesh->routing == NULL &&
+	    bf_store_pace_knows_records(&pace, mesh->listed_at_us, now_us);
+	chosen =
+	    (by_records ||
+		bf_store_pace_knows_nodes(&pace, mesh->listed_at_us, now_us)) &&
+	    should_relay(mesh, by_records);
 	if (chosen || (!mesh->relay && should_read_store(mesh, now_us))) {
 		mesh->relay_chosen_us = now_us;
 		if (!mesh->relay)
@@ -541,6 +568,13 @@
 	}
 }
 
+void
+bf_config_source_nodes_listed(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	mesh->relay_check_after_us = now_us;
+	bf_config_source_tick(mesh, now_us);
+}
+
 void
 bf_config_source_start(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -27,6 +27,11 @@
 /* Used when no node reported when a slot will be free. */
 #define RETRY_AFTER_DEFAULT_US (100 * BF_US_PER_MS)
 #define RETRY_AFTER_MIN_US (30 * BF_US_PER_MS)
+#define JITTER_MAX_US (400 * BF_US_PER_MS)
+/* A node serves calls about this long after its start. */
+#define STARTUP_US (900 * BF_US_PER_MS)
+/* If it does not, it is likely to take this much longer. */
+#define STARTUP_AGAIN_US (300 * BF_US_PER_MS)
 /*
  * Part of the shared budget that all nodes together may use.  While the rate of
  * calls falls from a peak, the time window in which the budget is checked can
@@ -161,11 +166,25 @@
 retry_after_us(bf_mesh_t *mesh, bf_time_us_t wait_us)
 {
 	bf_time_us_t pause_us = wait_us > 0 ? wait_us : RETRY_AFTER_DEFAULT_US;
+	bf_time_us_t jitter_us;
 
 	if (pause_us < RETRY_AFTER_MIN_US)
 		pause_us = RETRY_AFTER_MIN_US;
+	jitter_us = pause_us < JITTER_MAX_US ? pause_us : JITTER_MAX_US;
 	return pause_us +
-	    (bf_time_us_t)(bf_random_next(&mesh->random) % (uint64_t)pause_us);
+	    (bf_time_us_t)(bf_random_next(&mesh->random) % (uint64_t)jitter_us);
+}
+
+/*
+ * Expected time until this node can serve calls: it reads a configuration and
+ * connects to other nodes first, and tries again if the store is away.
+ */
+static bf_time_us_t
+startup_wait_us(const bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_time_us_t wait_us = mesh->start_us + STARTUP_US - now_us;
+
+	return wait_us > STARTUP_AGAIN_US ? wait_us : STARTUP_AGAIN_US;
 }
 
 static void
@@ -208,6 +227,8 @@
 		if (call->inner && cause == BF_CAUSE_BUSY)
 			bf_target_mark_dependency_busy(
 			    call->mesh, call->request_id);
+		if (cause == BF_CAUSE_NO_CANDIDATE)
+			call->min_wait_us = startup_wait_us(call->mesh, now_us);
 		retry_after_field(
 		    call->mesh, call->min_wait_us, field, sizeof(field));
 		log_finished(call, 503, "not-run", cause, now_us);
@@ -891,7 +912,10 @@
 
 	id = bf_http_find(request->message, mesh->dialect->request_id);
 	if (status == 503)
-		retry_after_field(mesh, 0, field, sizeof(field));
+		retry_after_field(mesh,
+		    cause == BF_CAUSE_NO_CONFIG ? startup_wait_us(mesh, now_us)
+						: 0,
+		    field, sizeof(field));
 	bf_metric_count(mesh->metrics.calls, "not-run", 1);
 	bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
 	bf_event(mesh->events, BF_EVENT_FINISHED, now_us, "s:s,s:i,s:s,s:s,s:I",
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -110,6 +110,7 @@
 	struct bf_inbound *inbound;
 
 	bool listed; /* in the last list of nodes read from the store */
+	uint32_t listed_link_mbps; /* as its record states; 0: not known */
 	/* Since when it is neither listed nor connected; 0: it is either. */
 	bf_time_us_t missing_since_us;
 	bool state_known;         /* state is what it reported on link */
@@ -535,6 +536,8 @@
 void bf_config_source_stop(bf_mesh_t *mesh);
 /* Starts or stops being a relay as other nodes join and leave. */
 void bf_config_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* The first complete list of nodes was read. */
+void bf_config_source_nodes_listed(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Lists all orders of moves again. */
 void bf_config_source_refresh_orders(bf_mesh_t *mesh, bf_time_us_t now_us);
 /*
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -68,11 +68,13 @@
 	json_t *record;
 
 	own_record_key(mesh, key, sizeof(key));
-	record = json_pack("{s:s,s:s,s:I,s:s,s:I,s:o}", "address",
+	record = json_pack("{s:s,s:s,s:I,s:I,s:s,s:I,s:o}", "address",
 	    self->address_text, "zone", self->zone, "incarnation",
-	    (json_int_t)self->incarnation, "left", mesh->target.departed_id,
-	    "left_born_ms", (json_int_t)mesh->target.departed_start_ms,
-	    "target", pack_target(&mesh->target));
+	    (json_int_t)self->incarnation, "link_mbps",
+	    (json_int_t)mesh->options.link_mbps, "left",
+	    mesh->target.departed_id, "left_born_ms",
+	    (json_int_t)mesh->target.departed_start_ms, "target",
+	    pack_target(&mesh->target));
 	mesh->member_dirty = false;
 	write.data_bytes = json_dumpb(record, data, sizeof(data), JSON_COMPACT);
 	json_decref(record);
@@ -196,6 +198,7 @@
 typedef struct bf_node_record {
 	const char *address, *zone;
 	json_int_t incarnation;
+	json_int_t link_mbps; /* 0: not known */
 } bf_node_record_t;
 
 static bool
@@ -204,9 +207,12 @@
 {
 	struct sockaddr_in address;
 
-	return json_unpack((json_t *)(uintptr_t)json, "{s:s,s:s,s:I}",
+	record->link_mbps = 0;
+	return json_unpack((json_t *)(uintptr_t)json, "{s:s,s:s,s:I,s?I}",
 		   "address", &record->address, "zone", &record->zone,
-		   "incarnation", &record->incarnation) == 0 &&
+		   "incarnation", &record->incarnation, "link_mbps",
+		   &record->link_mbps) == 0 &&
+	    record->link_mbps >= 0 && record->link_mbps <= UINT32_MAX &&
 	    bf_address_parse(record->address, &address, NULL) == BF_OK &&
 	    address.sin_port != 0 && strlen(record->zone) < BF_NAME_BYTES &&
 	    strlen(record->address) < BF_ADDRESS_BYTES &&
@@ -259,16 +265,19 @@
 		strcmp(peer->address_text, record.address) == 0))
 		peer = bf_roster_add(mesh, instance, record.zone,
 		    record.address, (uint64_t)record.incarnation, now_us);
-	if (peer != NULL)
+	if (peer != NULL) {
 		peer->listed = true;
+		if (is_valid)
+			peer->listed_link_mbps = (uint32_t)record.link_mbps;
+	}
 	json_decref(json);
 }
 
 static void
 handle_list(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
+	bool is_first, is_missing;
 	bf_peer_t *peer;
-	bool is_missing;
 	size_t i;
 
 	if (mesh->list_after[0] == '\0') {
@@ -296,7 +305,10 @@
 		return;
 	}
 	mesh->stale_lists = 0;
+	is_first = mesh->listed_at_us == 0;
 	mesh->listed_at_us = now_us;
+	if (is_first)
+		bf_config_source_nodes_listed(mesh, now_us);
 	/*
 	 * The record may have been deleted although its lease is valid; a list
 	 * that is older than the record does not show that.
--- a/mesh/store_pace.c
+++ b/mesh/store_pace.c
@@ -91,6 +91,14 @@
 	    (listed_at_us != 0 && now_us - listed_at_us >= KNOWS_NODES_US);
 }
 
+bool
+bf_store_pace_knows_records(
+    const bf_store_pace_t *pace, bf_time_us_t listed_at_us, bf_time_us_t now_us)
+{
+	return !pace->first_start && listed_at_us != 0 &&
+	    now_us - listed_at_us < KNOWS_NODES_US;
+}
+
 uint32_t
 bf_store_pace_watchers(uint32_t zone_count)
 {
--- a/mesh/store_pace.h
+++ b/mesh/store_pace.h
@@ -69,6 +69,14 @@
 bool bf_store_pace_knows_nodes(const bf_store_pace_t *pace,
     bf_time_us_t listed_at_us, bf_time_us_t now_us);
 
+/*
+ * Whether the node has to judge the other nodes by their records: it listed
+ * them a short time ago and is still connecting to them.  Not when the whole
+ * mesh starts for the first time, as there are no callers yet that wait.
+ */
+bool bf_store_pace_knows_records(const bf_store_pace_t *pace,
+    bf_time_us_t listed_at_us, bf_time_us_t now_us);
+
 /*
  * How many nodes of each availability zone watch the operators' keys, if nodes
  * of zone_count zones are connected.
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -12,7 +12,7 @@
  * caller, all on one event loop over loopback connections.
  */
 
-#define FIXTURE_NODES_MAX 6
+#define FIXTURE_NODES_MAX 10
 #define TARGET_SLOTS 4
 #define TARGET_RUNS_MAX 256
 
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1686,6 +1686,82 @@
 	fixture_free(fixture);
 }
 
+/* Whether the node may read the store for its zone: the first three may. */
+static bool
+is_first_reader(const mesh_fixture_t *fixture, uint32_t node)
+{
+	uint32_t preceding = 0, i;
+
+	for (i = node % 2; i < fixture->node_count; i += 2)
+		preceding +=
+		    strcmp(fixture->names[i], fixture->names[node]) < 0 ? 1 : 0;
+	return preceding < 3;
+}
+
+/*
+ * When all nodes restart, some of each zone read the configuration as soon as
+ * they know the others by their records, before they are connected.  The others
+ * leave the link of the store to them.
+ */
+static void
+test_first_readers(void)
+{
+	mesh_fixture_t *fixture = fixture_new(10);
+	bf_mesh_t *node;
+	uint32_t i, listed = 0;
+
+	fixture_configure(fixture, CONFIG);
+	for (i = 0; i < fixture->node_count; i++)
+		bf_mesh_free(fixture->nodes[i]);
+	for (i = 0; i < fixture->node_count; i++)
+		fixture_start_node(fixture, i);
+	while (listed < fixture->node_count) {
+		fixture_run(fixture, BF_US_PER_MS);
+		for (i = 0, listed = 0; i < fixture->node_count; i++) {
+			node = fixture->nodes[i];
+			listed += node->listed_at_us != 0 ? 1 : 0;
+			if (is_first_reader(fixture, i))
+				g_assert_true(
+				    node->listed_at_us == 0 || node->relay);
+			else if (bf_clock_monotonic_us() - node->start_us <
+			    100 * BF_US_PER_MS)
+				g_assert_false(node->relay);
+		}
+	}
+	fixture_run(fixture, BF_US_PER_S);
+	for (i = 0; i < fixture->node_count; i++)
+		g_assert_true(bf_mesh_ready(fixture->nodes[i]));
+	fixture_free(fixture);
+}
+
+/*
+ * A node without a configuration tells callers to come back once it is likely
+ * to have one.  Callers retry once; a shorter time would waste that retry.
+ */
+static void
+test_retry_after_start(void)
+{
+	mesh_fixture_t *fixture = fixture_new(1);
+	test_call_t call;
+
+	fixture_restart_node(fixture, 0);
+	fixture_send(fixture, &call, 0, "GET", "/read/x", "s1", 3000, 0);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 503);
+	g_assert_cmpfloat(
+	    call.retry_after_s, >=, 0.9 - (double)call.took_us / BF_US_PER_S);
+	g_assert_cmpfloat(call.retry_after_s, <=, 1.3);
+	fixture_run(fixture, 1200 * BF_US_PER_MS);
+	fixture_send(fixture, &call, 0, "GET", "/read/x", "s2", 3000, 0);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 503);
+	g_assert_cmpfloat(call.retry_after_s, >=, 0.3);
+	g_assert_cmpfloat(call.retry_after_s, <=, 0.6);
+	fixture_free(fixture);
+}
+
 /*
  * A target that leaves while its node stops is not served by the node's next
  * process.
@@ -1806,6 +1882,8 @@
 	g_test_add_func("/mesh/silent-link", test_silent_link_replaced);
 	g_test_add_func("/mesh/silent-process", test_silent_process_ended);
 	g_test_add_func("/mesh/herd-start", test_simultaneous_start);
+	g_test_add_func("/mesh/first-readers", test_first_readers);
+	g_test_add_func("/mesh/retry-after-start", test_retry_after_start);
 	g_test_add_func("/mesh/left-during-stop", test_left_during_stop);
 	g_test_add_func("/mesh/left-before-known", test_left_before_heartbeat);
 	return g_test_run();
