Know a slow target by the calls that it runs

Change: the queue sums the start and the expected time of the calls that hold a slot. Once these have run for over 1.5 times their expected time (more if they are few) the mean that is reported follows from them.

--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -260,7 +260,8 @@
 
 	candidate->running = t->running;
 	candidate->waiting = t->call_queue.count + t->queued;
-	candidate->mean_run_us = (uint32_t)t->call_queue.mean_run_us;
+	candidate->mean_run_us =
+	    (uint32_t)bf_call_queue_current_run_us(&t->call_queue, sim->now_us);
 	candidate->failure_ppm = (uint32_t)(t->failure_rate * 1000000);
 	candidate->sent_since_report = 0;
 }
@@ -523,7 +524,11 @@
 	target->running--;
 	target->failure_rate +=
 	    0.08 * ((call->fails ? 1 : 0) - target->failure_rate);
-	bf_call_queue_end_run(&target->call_queue, spent_us);
+	if (uses_call_queue(sim))
+		bf_call_queue_end_run(
+		    &target->call_queue, &call->queue_entry, spent_us);
+	else
+		bf_call_queue_count_run(&target->call_queue, spent_us);
 	if (call->fails || sim->now_us > call->deadline_at_us)
 		sim->result->wasted_s += (double)spent_us / BF_US_PER_S;
 	send_reply(sim, call, false);
--- a/mesh/call_queue.c
+++ b/mesh/call_queue.c
@@ -16,6 +16,11 @@
  * third of the whole slot time.
  */
 #define LOWER_PART 0.5
+/*
+ * Calls that hold a slot have run for half of their time on average.  They are
+ * overdue if it is this many times their expected time, more if they are few.
+ */
+#define OVERDUE_FACTOR 1.5
 /* Bounds the credit that calls of lower priority accumulate. */
 #define LOWER_CREDIT_US_MAX ((double)BF_US_PER_S)
 
@@ -133,6 +138,15 @@
 	return start_us > late_us ? start_us : late_us;
 }
 
+static void
+begin_run(bf_call_queue_t *queue, bf_queued_call_t *call, bf_time_us_t now_us)
+{
+	call->started_at_us = now_us;
+	queue->running++;
+	queue->started_at_sum_us += (double)now_us;
+	queue->expected_run_sum_us += (double)call->expected_run_us;
+}
+
 bf_queue_decision_t
 bf_call_queue_admit(bf_call_queue_t *queue, bf_queued_call_t *call,
     bool on_time, bf_time_us_t now_us)
@@ -140,7 +154,7 @@
 	bf_time_us_t start_at_us;
 
 	if (queue->running < queue->slots && queue->count == 0) {
-		queue->running++;
+		begin_run(queue, call, now_us);
 		return BF_QUEUE_DECISION_START;
 	}
 	call->expires_at_us = latest_start_at_us(call, on_time, now_us);
@@ -203,7 +217,7 @@
 			queue->lower_credit_us = LOWER_CREDIT_US_MAX;
 	}
 	remove_call(queue, best);
-	queue->running++;
+	begin_run(queue, best, now_us);
 	return best;
 }
 
@@ -228,13 +242,36 @@
 	remove_call(queue, call);
 }
 
-void
-bf_call_queue_end_run(bf_call_queue_t *queue, bf_time_us_t spent_us)
+bf_time_us_t
+bf_call_queue_current_run_us(const bf_call_queue_t *queue, bf_time_us_t now_us)
 {
+	double elapsed_us, threshold_us;
+
+	elapsed_us =
+	    (double)queue->running * (double)now_us - queue->started_at_sum_us;
+	threshold_us = OVERDUE_FACTOR * queue->expected_run_sum_us;
 	if (queue->running > 0)
-		queue->running--;
-	if (spent_us < 0)
-		return;
+		threshold_us += queue->expected_run_sum_us / queue->running;
+	if (queue->expected_run_sum_us <= 0 || elapsed_us <= threshold_us)
+		return (bf_time_us_t)queue->mean_run_us;
+	return (bf_time_us_t)(queue->mean_run_us * 2 * elapsed_us /
+	    queue->expected_run_sum_us);
+}
+
+void
+bf_call_queue_end_run(
+    bf_call_queue_t *queue, const bf_queued_call_t *call, bf_time_us_t spent_us)
+{
+	queue->running--;
+	queue->started_at_sum_us -= (double)call->started_at_us;
+	queue->expected_run_sum_us -= (double)call->expected_run_us;
+	if (spent_us >= 0)
+		bf_call_queue_count_run(queue, spent_us);
+}
+
+void
+bf_call_queue_count_run(bf_call_queue_t *queue, bf_time_us_t spent_us)
+{
 	if (!queue->has_measured_mean) {
 		queue->mean_run_us = (double)spent_us;
 		queue->has_measured_mean = true;
--- a/mesh/call_queue.h
+++ b/mesh/call_queue.h
@@ -35,6 +35,7 @@
 	bf_time_us_t deadline_at_us;  /* an answer after it is useless */
 	bf_time_us_t expires_at_us;   /* refused if not started by then */
 	bf_time_us_t expected_run_us; /* at the target */
+	bf_time_us_t started_at_us;   /* set when it gets a slot */
 };
 
 TAILQ_HEAD(bf_queued_call_list, bf_queued_call);
@@ -45,6 +46,9 @@
 	uint32_t count;         /* calls in the list */
 	double mean_run_us;     /* moving average of a call at the target */
 	bool has_measured_mean; /* false: mean_run_us is the initial value */
+	/* Sums over the calls that hold a slot. */
+	double started_at_sum_us;
+	double expected_run_sum_us;
 	double lower_credit_us; /* slot time due to calls of lower priority */
 	struct bf_queued_call_list list;
 } bf_call_queue_t;
@@ -86,11 +90,24 @@
 /* Takes out a call that its caller cancelled. */
 void bf_call_queue_remove(bf_call_queue_t *queue, bf_queued_call_t *call);
 
+/* Counts the time of a call at the target into the mean. */
+void bf_call_queue_count_run(bf_call_queue_t *queue, bf_time_us_t spent_us);
+
 /*
  * Frees the slot of a call.  spent_us is its time at the target, or less than
  * 0 when that is not to be counted into the mean.
  */
-void bf_call_queue_end_run(bf_call_queue_t *queue, bf_time_us_t spent_us);
+void bf_call_queue_end_run(bf_call_queue_t *queue, const bf_queued_call_t *call,
+    bf_time_us_t spent_us);
+
+/*
+ * Mean time of a call at the target: that of the calls that have ended or, if
+ * those that hold a slot now have run for much longer than expected, their
+ * estimated time.  A target that turns slow, or no longer answers, is thus
+ * known before its calls end.
+ */
+bf_time_us_t bf_call_queue_current_run_us(
+    const bf_call_queue_t *queue, bf_time_us_t now_us);
 
 /* Expected time until the given call gets a slot if it arrives now. */
 bf_time_us_t bf_call_queue_expected_wait_us(const bf_call_queue_t *queue,
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -183,6 +183,8 @@
 		return false;
 	if (sent->slots != load->slots ||
 	    has_free_slot(sent) != has_free_slot(load) ||
+	    sent->mean_us / 2 > load->mean_us ||
+	    load->mean_us / 2 > sent->mean_us ||
 	    difference(sent->running, load->running) > 1 ||
 	    difference(sent->waiting, load->waiting) > 1 ||
 	    difference(sent->failing_ppm, load->failing_ppm) >=
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -136,7 +136,9 @@
 		.waiting = target->queue.count + target->pulls.count,
 		.slots =
 		    target->state == BF_TARGET_READY ? target->queue.slots : 0,
-		.mean_us = (uint32_t)target->queue.mean_run_us,
+
+		.mean_us = (uint32_t)bf_call_queue_current_run_us(
+		    &target->queue, now_us),
 		.failing_ppm = share < FAILURE_SHARE_MIN
 		    ? 0
 		    : (uint32_t)(share * 100) * 10000,
@@ -350,7 +352,8 @@
 {
 	bf_loop_timer_cancel(call->mesh->loop, &call->timeout);
 	call->running = false;
-	bf_call_queue_end_run(&call->mesh->target.queue, spent_us);
+	bf_call_queue_end_run(
+	    &call->mesh->target.queue, &call->queued, spent_us);
 }
 
 static void
@@ -388,7 +391,8 @@
 	};
 
 	record_run(call, true, now_us);
-	release_slot(call, -1);
+	/* A run that was given up would have taken longer still. */
+	release_slot(call, cause == BF_CAUSE_TIMEOUT ? reply.spent_us : -1);
 	log_run(call, bf_cause_name(cause), 0, now_us);
 	send_reply(call, &reply, now_us);
 	send_next(mesh, now_us);
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -56,16 +56,16 @@
 	g_assert_cmpint(bf_call_queue_admit(&queue, &inner, true, 0), ==,
 	    BF_QUEUE_DECISION_WAIT);
 	g_assert_null(bf_call_queue_start_next(&queue, 0));
-	bf_call_queue_end_run(&queue, 50 * MS);
+	bf_call_queue_end_run(&queue, &running[0], 50 * MS);
 	g_assert_true(bf_call_queue_start_next(&queue, 0) == &inner);
-	bf_call_queue_end_run(&queue, 50 * MS);
+	bf_call_queue_end_run(&queue, &inner, 50 * MS);
 	g_assert_true(bf_call_queue_start_next(&queue, 0) == &sooner);
-	bf_call_queue_end_run(&queue, 50 * MS);
+	bf_call_queue_end_run(&queue, &sooner, 50 * MS);
 	/* Of three runs of equal length, the third is of lower priority. */
 	g_assert_true(bf_call_queue_start_next(&queue, 0) == &low);
-	bf_call_queue_end_run(&queue, 50 * MS);
+	bf_call_queue_end_run(&queue, &low, 50 * MS);
 	g_assert_true(bf_call_queue_start_next(&queue, 0) == &high);
-	bf_call_queue_end_run(&queue, 50 * MS);
+	bf_call_queue_end_run(&queue, &high, 50 * MS);
 	g_assert_true(bf_call_queue_start_next(&queue, 0) == &late);
 }
 
@@ -76,7 +76,8 @@
 	enum {
 		STEPS = 300
 	};
-	bf_queued_call_t running[1], urgent[STEPS], lower[STEPS], *next;
+	bf_queued_call_t running[1], urgent[STEPS], lower[STEPS];
+	bf_queued_call_t *next = &running[0];
 	uint32_t urgent_runs = 0, lower_runs = 0, i;
 	bf_call_queue_t queue;
 
@@ -93,7 +94,7 @@
 	}
 	g_assert_cmpuint(i, ==, STEPS);
 	for (i = 0; i < STEPS; i++) {
-		bf_call_queue_end_run(&queue, 50 * MS);
+		bf_call_queue_end_run(&queue, next, 50 * MS);
 		next = bf_call_queue_start_next(&queue, 0);
 		g_assert_nonnull(next);
 		if (next->priority == 1)
@@ -156,19 +157,55 @@
 static void
 test_mean(void)
 {
+	bf_queued_call_t call = queued_call(1, 700, 800);
 	bf_call_queue_t queue;
 	uint32_t i;
 
 	bf_call_queue_init(&queue, 4);
-	bf_call_queue_end_run(&queue, 80 * MS);
+	bf_call_queue_count_run(&queue, 80 * MS);
 	g_assert_cmpfloat(queue.mean_run_us, ==, 80 * MS);
-	bf_call_queue_end_run(&queue, -1);
+	g_assert_cmpint(bf_call_queue_admit(&queue, &call, false, 0), ==,
+	    BF_QUEUE_DECISION_START);
+	bf_call_queue_end_run(&queue, &call, -1);
 	g_assert_cmpfloat(queue.mean_run_us, ==, 80 * MS);
 	for (i = 0; i < 200; i++)
-		bf_call_queue_end_run(&queue, 20 * MS);
+		bf_call_queue_count_run(&queue, 20 * MS);
 	g_assert_cmpfloat(queue.mean_run_us, <, 21 * MS);
 }
 
+/*
+ * A target that turns slow is known by the calls that it runs, long before one
+ * of them ends.  A single call may take twice its time without being a sign.
+ */
+static void
+test_slow_runs(void)
+{
+	bf_queued_call_t running[4], call = queued_call(1, 700, 800);
+	bf_call_queue_t queue;
+
+	fill_slots(&queue, running, 4);
+	bf_call_queue_count_run(&queue, 50 * MS);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 60 * MS), ==, 50 * MS);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 300 * MS), ==, 600 * MS);
+	bf_call_queue_end_run(&queue, &running[0], -1);
+	bf_call_queue_end_run(&queue, &running[1], -1);
+	bf_call_queue_end_run(&queue, &running[2], -1);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 99 * MS), ==, 50 * MS);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 150 * MS), ==, 300 * MS);
+	bf_call_queue_end_run(&queue, &running[3], -1);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 900 * MS), ==, 50 * MS);
+	/* A call that starts later is measured from its own start. */
+	g_assert_cmpint(bf_call_queue_admit(&queue, &call, false, 900 * MS), ==,
+	    BF_QUEUE_DECISION_START);
+	g_assert_cmpint(
+	    bf_call_queue_current_run_us(&queue, 950 * MS), ==, 50 * MS);
+}
+
 static bf_candidate_t
 candidate(uint32_t load, uint32_t mean_ms, bool in_own_zone)
 {
@@ -292,6 +329,7 @@
 	g_test_add_func("/waiting/given-up", test_expired);
 	g_test_add_func("/waiting/no-slots", test_no_slots);
 	g_test_add_func("/waiting/mean", test_mean);
+	g_test_add_func("/waiting/slow-runs", test_slow_runs);
 	g_test_add_func("/placing/expected", test_expected);
 	g_test_add_func("/placing/near-first", test_own_zone_first);
 	g_test_add_func("/placing/no-herd", test_no_overload);
