Write a node's record only when it says something new

A restarted node wrote its record with the restored target and once more when that was confirmed, with the same contents.

Change: an update is written only if the record says something else of the target. First readers are chosen by the first complete list, also an old one.

/mesh/record-once failed before (3 writes). The test of a departure while the store is away now changes the record, as an equal one is no longer written.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -551,7 +551,7 @@
 	mesh->relay_check_after_us = now_us + RELAY_CHECK_US;
 	pace = bf_registry_pace(mesh);
 	by_records = mesh->routing == NULL &&
-	    bf_store_pace_knows_records(&pace, mesh->listed_at_us, now_us);
+	    bf_store_pace_knows_records(&pace, mesh->records_known_us, now_us);
 	chosen =
 	    (by_records ||
 		bf_store_pace_knows_nodes(&pace, mesh->listed_at_us, now_us)) &&
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -275,6 +275,14 @@
 	bf_target_call_t *local_calls; /* those that entered at this node */
 } bf_own_target_t;
 
+/* What the last record written to the store says of the own target. */
+typedef struct bf_recorded_target {
+	bf_heartbeat_t heartbeat;
+	bool draining;
+	char departed_id[BF_NAME_BYTES];
+	uint64_t departed_start_ms;
+} bf_recorded_target_t;
+
 /* A move of a service to a new version, as known to this node. */
 typedef struct bf_tracked_move {
 	bf_move_t move;
@@ -429,11 +437,14 @@
 	uint32_t member_step; /* bf_registration_step_t */
 	uint64_t lease;
 	uint64_t member_revision; /* of the record; 0: it does not exist */
+	bf_recorded_target_t recorded;
 	uint32_t member_failures;
 	uint32_t stale_lists; /* consecutive, see bf_store_pace_t */
 	uint64_t store_call_counts[BF_STORE_PURPOSES];
 	bool member_dirty;         /* the record has to be written again */
 	bf_time_us_t listed_at_us; /* 0: not yet with this lease */
+	bf_time_us_t
+	    records_known_us; /* first complete list, maybe an old one */
 	char list_after[BF_NAME_BYTES * 2]; /* last key of the page read */
 	bool store_up;                      /* the store served the last call */
 	bool store_up_known;                /* a call to the store has ended */
@@ -525,7 +536,7 @@
 void bf_registry_stop(bf_mesh_t *mesh);
 /* What decides about this node's calls to the store. */
 bf_store_pace_t bf_registry_pace(const bf_mesh_t *mesh);
-/* Writes the record again, after a change of its contents. */
+/* Writes the record again if what it says of the target has changed. */
 void bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Counts and logs the end of a call to the store, and updates store_up. */
 void bf_mesh_record_store_call(bf_mesh_t *mesh, bf_store_purpose_t purpose,
@@ -536,7 +547,7 @@
 void bf_config_source_stop(bf_mesh_t *mesh);
 /* Starts or stops being a relay as other nodes join and leave. */
 void bf_config_source_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
-/* The first complete list of nodes was read. */
+/* The first complete list of nodes was read, maybe an old one. */
 void bf_config_source_nodes_listed(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Lists all orders of moves again. */
 void bf_config_source_refresh_orders(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -41,6 +41,12 @@
 	    mesh->options.instance);
 }
 
+static bool
+is_leaving(const bf_own_target_t *target)
+{
+	return target->state == BF_TARGET_DRAINING || target->departed;
+}
+
 /* The target, as of the last heartbeat that changed something. */
 static json_t *
 pack_target(const bf_own_target_t *target)
@@ -50,12 +56,29 @@
 	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:I,s:I}", "id",
 	    heartbeat->id, "service", heartbeat->service, "version",
 	    heartbeat->version, "address", heartbeat->address, "slots",
-	    (json_int_t)heartbeat->slots, "draining",
-	    (int)(target->state == BF_TARGET_DRAINING || target->departed),
+	    (json_int_t)heartbeat->slots, "draining", (int)is_leaving(target),
 	    "sequence", (json_int_t)heartbeat->sequence, "born_ms",
 	    (json_int_t)heartbeat->start_ms);
 }
 
+/* Whether the record says of the target what is known of it now. */
+static bool
+is_recorded(const bf_mesh_t *mesh)
+{
+	const bf_recorded_target_t *recorded = &mesh->recorded;
+	const bf_heartbeat_t *now = &mesh->target.heartbeat;
+	const bf_heartbeat_t *then = &recorded->heartbeat;
+
+	return mesh->member_revision != 0 && strcmp(then->id, now->id) == 0 &&
+	    then->start_ms == now->start_ms && then->slots == now->slots &&
+	    strcmp(then->service, now->service) == 0 &&
+	    strcmp(then->version, now->version) == 0 &&
+	    strcmp(then->address, now->address) == 0 &&
+	    recorded->draining == is_leaving(&mesh->target) &&
+	    recorded->departed_start_ms == mesh->target.departed_start_ms &&
+	    strcmp(recorded->departed_id, mesh->target.departed_id) == 0;
+}
+
 static void
 write_record(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
@@ -76,6 +99,13 @@
 	    (json_int_t)mesh->target.departed_start_ms, "target",
 	    pack_target(&mesh->target));
 	mesh->member_dirty = false;
+	mesh->recorded = (bf_recorded_target_t){
+		.heartbeat = mesh->target.heartbeat,
+		.draining = is_leaving(&mesh->target),
+		.departed_start_ms = mesh->target.departed_start_ms,
+	};
+	memcpy(mesh->recorded.departed_id, mesh->target.departed_id,
+	    sizeof(mesh->recorded.departed_id));
 	write.data_bytes = json_dumpb(record, data, sizeof(data), JSON_COMPACT);
 	json_decref(record);
 	if (write.data_bytes > sizeof(data))
@@ -276,7 +306,7 @@
 static void
 handle_list(bf_mesh_t *mesh, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
-	bool is_first, is_missing;
+	bool is_missing;
 	bf_peer_t *peer;
 	size_t i;
 
@@ -293,6 +323,11 @@
 		return;
 	}
 	mesh->list_after[0] = '\0';
+	/* An old list has the records of former processes, at least. */
+	if (mesh->records_known_us == 0) {
+		mesh->records_known_us = now_us;
+		bf_config_source_nodes_listed(mesh, now_us);
+	}
 	/*
 	 * Only a list that is newer than the own record shows all nodes that
 	 * registered before it; those that register later see it.
@@ -305,10 +340,7 @@
 		return;
 	}
 	mesh->stale_lists = 0;
-	is_first = mesh->listed_at_us == 0;
 	mesh->listed_at_us = now_us;
-	if (is_first)
-		bf_config_source_nodes_listed(mesh, now_us);
 	/*
 	 * The record may have been deleted although its lease is valid; a list
 	 * that is older than the record does not show that.
@@ -380,6 +412,20 @@
 	}
 }
 
+static void
+rewrite_record(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	mesh->member_dirty = true;
+	/* If a call is in progress, the record is written after it. */
+	if (mesh->member_call.pending != NULL || mesh->member_call.done == NULL)
+		return;
+	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
+	/* Without a lease, one is obtained first. */
+	if (mesh->member_step != BF_REGISTRATION_GRANT)
+		mesh->member_step = BF_REGISTRATION_WRITE;
+	start_call(mesh, now_us);
+}
+
 static void
 on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
@@ -399,7 +445,7 @@
 		mesh->member_failures = 0;
 		handle_success(mesh, reply, now_us);
 		if (mesh->member_dirty)
-			bf_registry_update(mesh, now_us);
+			rewrite_record(mesh, now_us);
 		return;
 	case BF_ERR_CONFLICT:
 		/*
@@ -437,15 +483,8 @@
 void
 bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	mesh->member_dirty = true;
-	/* If a call is in progress, the record is written after it. */
-	if (mesh->member_call.pending != NULL || mesh->member_call.done == NULL)
-		return;
-	bf_loop_timer_cancel(mesh->loop, &mesh->member_timer);
-	/* Without a lease, one is obtained first. */
-	if (mesh->member_step != BF_REGISTRATION_GRANT)
-		mesh->member_step = BF_REGISTRATION_WRITE;
-	start_call(mesh, now_us);
+	if (!is_recorded(mesh))
+		rewrite_record(mesh, now_us);
 }
 
 void
