Do not run a call again because a call that it made was shed

Change: a made call that ended as rejected by its target marks its parent's run like one that was refused as busy; the run's failure is not repeated.

/mesh/made-call-rejected failed before (the parent ran twice). Also renames two variables of the registry and rewords two comments.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -224,7 +224,8 @@
 		return;
 	}
 	if (!call->may_have_run) {
-		if (call->inner && cause == BF_CAUSE_BUSY)
+		if (call->inner &&
+		    (cause == BF_CAUSE_BUSY || cause == BF_CAUSE_REJECTED))
 			bf_target_mark_dependency_busy(
 			    call->mesh, call->request_id);
 		if (cause == BF_CAUSE_NO_CANDIDATE)
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -95,15 +95,15 @@
 	bf_path_delay_t path_delay;
 	uint32_t outstanding_offers;
 	/*
-	 * The former connection was lost after a silence.  Calls sent over it
-	 * may still be answered, by it (silent_link, unless it is closed) or by
-	 * link.
+	 * The former connection was given up after a silence, and the peer may
+	 * still answer the calls sent over it: by link, or by that connection
+	 * if it recovers.
 	 */
 	bool holds_calls;
-	uint64_t held_incarnation; /* of the process that has them */
-	bf_mesh_link_t *silent_link;
-	bf_time_us_t probe_sent_us; /* first unanswered probe; 0: none */
-	uint32_t dial_failures;     /* consecutive */
+	uint64_t held_incarnation;   /* of the process that has them */
+	bf_mesh_link_t *silent_link; /* the former connection; NULL: closed */
+	bf_time_us_t probe_sent_us;  /* first unanswered probe; 0: none */
+	uint32_t dial_failures;      /* consecutive */
 	bf_timer_t redial_timer;
 
 	/* The connection dialled by the peer, which carries its calls. */
@@ -443,8 +443,8 @@
 	uint64_t store_call_counts[BF_STORE_PURPOSES];
 	bool member_dirty;         /* the record has to be written again */
 	bf_time_us_t listed_at_us; /* 0: not yet with this lease */
-	bf_time_us_t
-	    records_known_us; /* first complete list, maybe an old one */
+	/* When the first list of nodes was complete, though maybe old. */
+	bf_time_us_t records_known_us;
 	char list_after[BF_NAME_BYTES * 2]; /* last key of the page read */
 	bool store_up;                      /* the store served the last call */
 	bool store_up_known;                /* a call to the store has ended */
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -61,19 +61,24 @@
 	    (json_int_t)heartbeat->start_ms);
 }
 
-/* Whether the record says of the target what is known of it now. */
+/*
+ * Whether the record, as last written, says of the target what is known of it.
+ * A write that failed is repeated until it succeeds.
+ */
 static bool
 is_recorded(const bf_mesh_t *mesh)
 {
 	const bf_recorded_target_t *recorded = &mesh->recorded;
-	const bf_heartbeat_t *now = &mesh->target.heartbeat;
-	const bf_heartbeat_t *then = &recorded->heartbeat;
-
-	return mesh->member_revision != 0 && strcmp(then->id, now->id) == 0 &&
-	    then->start_ms == now->start_ms && then->slots == now->slots &&
-	    strcmp(then->service, now->service) == 0 &&
-	    strcmp(then->version, now->version) == 0 &&
-	    strcmp(then->address, now->address) == 0 &&
+	const bf_heartbeat_t *known = &mesh->target.heartbeat;
+	const bf_heartbeat_t *written = &recorded->heartbeat;
+
+	return mesh->member_revision != 0 &&
+	    strcmp(written->id, known->id) == 0 &&
+	    written->start_ms == known->start_ms &&
+	    written->slots == known->slots &&
+	    strcmp(written->service, known->service) == 0 &&
+	    strcmp(written->version, known->version) == 0 &&
+	    strcmp(written->address, known->address) == 0 &&
 	    recorded->draining == is_leaving(&mesh->target) &&
 	    recorded->departed_start_ms == mesh->target.departed_start_ms &&
 	    strcmp(recorded->departed_id, mesh->target.departed_id) == 0;
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1063,6 +1063,41 @@
 	fixture_free(fixture);
 }
 
+/*
+ * A run fails because the target that it calls sheds that call.  Running it
+ * again elsewhere would send the call once more, beyond the retry budget of the
+ * service that sheds.
+ */
+static void
+test_inner_call_rejected(void)
+{
+	mesh_fixture_t *fixture = fixture_new(2);
+	test_call_t call, inner;
+
+	fixture_configure(fixture, "5\n/read/ safe shop 3000 2000 2 2\n");
+	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	fixture->targets[0].delay_us = 600 * BF_US_PER_MS;
+	fixture_send(fixture, &call, 0, "GET", "/read/x", "parent", 3000, 0);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", false), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	fixture->targets[1].behaviour = BEHAVIOUR_REJECT;
+	fixture_send(
+	    fixture, &inner, 0, "GET", "/read/x", "parent.child", 3000, 0);
+	g_assert_true(fixture_await(fixture, &inner, 1, WAIT_US));
+	bf_http_client_reset(&inner.client);
+	g_assert_cmpuint(inner.status, ==, 503);
+	fixture->targets[1].behaviour = BEHAVIOUR_ANSWER;
+	fixture->targets[0].behaviour = BEHAVIOUR_FAIL;
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 500);
+	g_assert_cmpuint(fixture_count_runs(fixture, "parent"), ==, 1);
+	fixture_free(fixture);
+}
+
 /* A node that stops completes the calls that it has accepted. */
 static void
 test_stop(void)
@@ -1887,6 +1922,7 @@
 	g_test_add_func("/mesh/store-down", test_store_down);
 	g_test_add_func("/mesh/pipelined", test_pipelined);
 	g_test_add_func("/mesh/made-call", test_inner_call);
+	g_test_add_func("/mesh/made-call-rejected", test_inner_call_rejected);
 	g_test_add_func("/mesh/stop", test_stop);
 	g_test_add_func(
 	    "/mesh/stop-finishes-reading", test_stop_finishes_reading);
