Do not take an abandoned connection for the newer one

Since calls are kept at silent nodes it took the abandoned one for the newer, moved the calls there and closed the connection in use; the peer ended an at-most-once call with 502 while its target was at work.

Ruled out: the silence limits (the connection was 1 s old), the user timeout, a restart of either process, records of former processes.

Change: a hello states the number of the peer's attempt to connect. Only a greater one replaces a connection of the same process.

/mesh/stale-hello failed before.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -104,6 +104,7 @@
 	bf_mesh_link_t *silent_link; /* the former connection; NULL: closed */
 	bf_time_us_t probe_sent_us;  /* first unanswered probe; 0: none */
 	uint32_t dial_failures;      /* consecutive */
+	uint64_t dial_count;         /* attempts, as its hello tells the peer */
 	bf_timer_t redial_timer;
 
 	/* The connection dialled by the peer, which carries its calls. */
@@ -131,8 +132,10 @@
 typedef struct bf_inbound {
 	bf_mesh_link_t link; /* first member */
 	bf_mesh_t *mesh;
-	bf_peer_t *peer;      /* NULL before its hello */
-	uint64_t incarnation; /* of the peer, as of its hello */
+	bf_peer_t *peer; /* NULL before its hello */
+	/* As of its hello. */
+	uint64_t incarnation; /* of the peer */
+	uint64_t dial_number; /* of the peer's attempts; 0: not stated */
 	struct bf_inbound *next;
 	struct bf_inbound **previous;
 	bf_target_call_t *calls; /* received on this connection */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -465,6 +465,7 @@
 	bf_wire_write_text(&mesh->writer, self->zone);
 	bf_wire_write_text(&mesh->writer, self->address_text);
 	bf_wire_write_uint(&mesh->writer, self->incarnation);
+	bf_wire_write_uint(&mesh->writer, peer->dial_count);
 	bf_mesh_link_send(link, BF_FRAME_HELLO, 0, &mesh->writer, NULL, now_us);
 }
 
@@ -487,6 +488,7 @@
 		return;
 	}
 	peer->link->owner = peer;
+	peer->dial_count++;
 	if (bf_mesh_link_dial(peer->link, &peer_vtable, mesh->loop,
 		&peer->address, now_us, NULL) != BF_OK) {
 		free(peer->link);
@@ -627,13 +629,15 @@
 	bf_mesh_t *mesh = inbound->mesh;
 	bf_inbound_t *former;
 	bf_node_state_t state;
-	uint64_t incarnation;
+	uint64_t incarnation, dial_number = 0;
 	bf_peer_t *peer;
 
 	bf_wire_read_text(reader, instance, sizeof(instance));
 	bf_wire_read_text(reader, zone, sizeof(zone));
 	bf_wire_read_text(reader, address, sizeof(address));
 	incarnation = bf_wire_read_uint(reader, UINT64_MAX);
+	if (!bf_wire_reader_done(reader))
+		dial_number = bf_wire_read_uint(reader, UINT64_MAX);
 	if (reader->code != BF_OK)
 		return;
 	peer =
@@ -642,14 +646,18 @@
 		return;
 	inbound->peer = peer;
 	inbound->incarnation = incarnation;
-	former = peer->inbound;
-	peer->inbound = inbound;
+	inbound->dial_number = dial_number;
 	peer->missing_since_us = 0;
-	if (former != NULL && former != inbound &&
+	former = peer->inbound;
+	if (dial_number != 0 && former != NULL && former != inbound &&
 	    former->incarnation == incarnation) {
+		/* One that was abandoned may be read after its successor. */
+		if (dial_number <= former->dial_number)
+			return;
 		bf_target_adopt_calls(former, inbound);
 		drop_inbound(former, now_us);
 	}
+	peer->inbound = inbound;
 	state = bf_mesh_node_state(mesh, now_us);
 	bf_node_state_send(mesh, &inbound->link, &state, now_us);
 	if (mesh->relay && peer->in_own_zone)
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1257,6 +1257,64 @@
 	fixture_free(fixture);
 }
 
+static void
+ignore_frame(bf_mesh_link_t *link, const bf_frame_t *frame, bf_time_us_t now_us)
+{
+	(void)link;
+	(void)frame;
+	(void)now_us;
+}
+
+static void
+ignore_ended(bf_mesh_link_t *link, bf_time_us_t now_us)
+{
+	(void)link;
+	(void)now_us;
+}
+
+static const bf_mesh_link_vtable_t discard_vtable = {
+	.opened = ignore_ended,
+	.frame = ignore_frame,
+	.ended = ignore_ended,
+};
+
+/*
+ * A node that is short of processor time may read the hello of an abandoned
+ * connection after that of its successor.  It must not take the abandoned one
+ * for the newer, and close the connection in use with the calls on it.
+ */
+static void
+test_stale_hello(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+	const bf_peer_t *peer = bf_roster_find(fixture->nodes[1], "n0");
+	const bf_inbound_t *inbound = peer->inbound;
+	bf_mesh_t *node = fixture->nodes[0];
+	bf_mesh_link_t stale = { 0 };
+	bf_wire_writer_t writer;
+
+	g_assert_nonnull(inbound);
+	bf_wire_writer_init(&writer);
+	g_assert_cmpint(bf_mesh_link_dial(&stale, &discard_vtable,
+			    fixture->loop, &bf_roster_find(node, "n1")->address,
+			    bf_clock_monotonic_us(), NULL),
+	    ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	bf_wire_write_text(&writer, "n0");
+	bf_wire_write_text(&writer, "a");
+	bf_wire_write_text(&writer, node->self->address_text);
+	bf_wire_write_uint(&writer, node->incarnation);
+	bf_wire_write_uint(&writer, 1); /* its first attempt */
+	bf_mesh_link_send(
+	    &stale, BF_FRAME_HELLO, 0, &writer, NULL, bf_clock_monotonic_us());
+	fixture_run(fixture, SETTLE_US);
+	g_assert_true(peer->inbound == inbound);
+	g_assert_true(bf_roster_find(node, "n1")->connected);
+	bf_mesh_link_close(&stale);
+	bf_wire_writer_free(&writer);
+	fixture_free(fixture);
+}
+
 /* A node whose address now belongs to another node is removed. */
 static void
 test_reused_address(void)
@@ -1590,26 +1648,6 @@
 	fixture_free(fixture);
 }
 
-static void
-ignore_frame(bf_mesh_link_t *link, const bf_frame_t *frame, bf_time_us_t now_us)
-{
-	(void)link;
-	(void)frame;
-	(void)now_us;
-}
-
-static void
-ignore_ended(bf_mesh_link_t *link, bf_time_us_t now_us)
-{
-	(void)link;
-	(void)now_us;
-}
-
-static const bf_mesh_link_vtable_t discard_vtable = {
-	.frame = ignore_frame,
-	.ended = ignore_ended,
-};
-
 /*
  * From now on node ignores the frames of other and sends it none, as in a
  * network partition.
@@ -1929,6 +1967,7 @@
 	g_test_add_func("/mesh/stop-refuses-offers", test_stop_refuses_offers);
 	g_test_add_func("/mesh/stop-refuses-late", test_stop_refuses_late);
 	g_test_add_func("/mesh/late-hello", test_late_hello);
+	g_test_add_func("/mesh/stale-hello", test_stale_hello);
 	g_test_add_func("/mesh/reused-address", test_reused_address);
 	g_test_add_func("/mesh/taken-back", test_rolled_back);
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
