Number only connections that replace another one

Change: a hello states a number only when it takes over the calls of a former connection. Others are handled as before calls were kept.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -104,7 +104,7 @@
 	bf_mesh_link_t *silent_link; /* the former connection; NULL: closed */
 	bf_time_us_t probe_sent_us;  /* first unanswered probe; 0: none */
 	uint32_t dial_failures;      /* consecutive */
-	uint64_t dial_count;         /* attempts, as its hello tells the peer */
+	uint64_t dial_count;         /* attempts to connect */
 	bf_timer_t redial_timer;
 
 	/* The connection dialled by the peer, which carries its calls. */
@@ -135,7 +135,8 @@
 	bf_peer_t *peer; /* NULL before its hello */
 	/* As of its hello. */
 	uint64_t incarnation; /* of the peer */
-	uint64_t dial_number; /* of the peer's attempts; 0: not stated */
+	uint64_t
+	    dial_number; /* of the attempt that replaces another; 0: none */
 	struct bf_inbound *next;
 	struct bf_inbound **previous;
 	bf_target_call_t *calls; /* received on this connection */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -465,7 +465,9 @@
 	bf_wire_write_text(&mesh->writer, self->zone);
 	bf_wire_write_text(&mesh->writer, self->address_text);
 	bf_wire_write_uint(&mesh->writer, self->incarnation);
-	bf_wire_write_uint(&mesh->writer, peer->dial_count);
+	/* The peer takes over the calls of the connection before. */
+	if (peer->holds_calls)
+		bf_wire_write_uint(&mesh->writer, peer->dial_count);
 	bf_mesh_link_send(link, BF_FRAME_HELLO, 0, &mesh->writer, NULL, now_us);
 }
 
@@ -652,12 +654,14 @@
 	if (dial_number != 0 && former != NULL && former != inbound &&
 	    former->incarnation == incarnation) {
 		/* One that was abandoned may be read after its successor. */
-		if (dial_number <= former->dial_number)
-			return;
-		bf_target_adopt_calls(former, inbound);
-		drop_inbound(former, now_us);
+		if (dial_number > former->dial_number) {
+			bf_target_adopt_calls(former, inbound);
+			drop_inbound(former, now_us);
+			peer->inbound = inbound;
+		}
+	} else {
+		peer->inbound = inbound;
 	}
-	peer->inbound = inbound;
 	state = bf_mesh_node_state(mesh, now_us);
 	bf_node_state_send(mesh, &inbound->link, &state, now_us);
 	if (mesh->relay && peer->in_own_zone)
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1288,12 +1288,13 @@
 {
 	mesh_fixture_t *fixture = new_configured(2);
 	const bf_peer_t *peer = bf_roster_find(fixture->nodes[1], "n0");
-	const bf_inbound_t *inbound = peer->inbound;
+	bf_inbound_t *inbound = peer->inbound;
 	bf_mesh_t *node = fixture->nodes[0];
 	bf_mesh_link_t stale = { 0 };
 	bf_wire_writer_t writer;
 
 	g_assert_nonnull(inbound);
+	inbound->dial_number = 2; /* it replaced another one */
 	bf_wire_writer_init(&writer);
 	g_assert_cmpint(bf_mesh_link_dial(&stale, &discard_vtable,
 			    fixture->loop, &bf_roster_find(node, "n1")->address,
@@ -1304,7 +1305,7 @@
 	bf_wire_write_text(&writer, "a");
 	bf_wire_write_text(&writer, node->self->address_text);
 	bf_wire_write_uint(&writer, node->incarnation);
-	bf_wire_write_uint(&writer, 1); /* its first attempt */
+	bf_wire_write_uint(&writer, 1); /* the attempt before */
 	bf_mesh_link_send(
 	    &stale, BF_FRAME_HELLO, 0, &writer, NULL, bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
