Let the first outcome stored for an order of a move hold

Cause: the write of an outcome was conditional on its key's revision only. After a conflict the leader took the new revision, kept its own final state and replaced the stored one with the next write. A final state that a node had decided or heard first was never given up. Leaders did not read outcomes while they led.

Ruled out: the store (it refused no transaction whose condition held) and the evidence, which was right for the calls of each part.

Change: mesh/move_record.c decides, without input or output, what is written and which state holds. The first final state stored after an order holds for that order; reports between nodes carry its revision. The write is conditional on the order's key too, so that a leader that has not heard of the next order cannot end it. The leader of an active move watches the outcomes. An outcome whose key names another service is refused.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -11,6 +11,7 @@
 #include "mesh/call_queue.h"
 #include "mesh/link.h"
 #include "mesh/mesh.h"
+#include "mesh/move_record.h"
 #include "mesh/retry_budget.h"
 #include "mesh/store_pace.h"
 #include "mesh/throttle.h"
@@ -292,13 +293,7 @@
 	bf_move_t move;
 	bool ordered; /* its order was read from the store or a peer sent it */
 
-	/* The outcome that the store holds, or that is being written. */
-	uint64_t outcome_revision; /* revision of its key; 0: absent */
-	bf_move_state_t stored_state;
-	bool has_stored; /* stored_state and stored_version are set */
-	char stored_version[BF_NAME_BYTES];
-	bool write_pending;
-
+	bf_move_record_t record;
 	bf_time_us_t announced_at_us; /* last sent to all peers */
 
 	/*
@@ -404,6 +399,8 @@
 	bf_time_us_t relay_check_after_us; /* earliest next check */
 	bf_time_us_t relay_chosen_us; /* last time it was chosen as a relay */
 	bf_kv_call_t outcomes_call;   /* reads the outcomes of moves */
+	bf_kv_watcher_t outcome_keys; /* watched by the leader of a move */
+	bool watching_outcomes;
 	bf_timer_t outcomes_timer;
 	uint32_t outcomes_failures;
 	bf_kv_watcher_t operator_keys; /* watched while this node is a relay */
--- a/mesh/move.h
+++ b/mesh/move.h
@@ -91,6 +91,8 @@
 	bf_time_us_t began_at_us; /* monotonic, of this process */
 	bf_time_us_t duration_us;
 	bf_move_state_t state;
+	/* At which the store holds this final state; 0: not known to hold it */
+	uint64_t settled_revision;
 	uint32_t share_ppm; /* of the calls that go to the new version */
 	bf_time_us_t share_set_at_us;
 	char reason[BF_MOVE_REASON_BYTES]; /* of the last change */
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -7,8 +7,8 @@
  * Coordinates the moves of services to new versions; mesh/move.c decides them.
  * One node is the leader: the first by name of those that can write to the
  * store.  It evaluates the results of the runs on all nodes, sends each change
- * to every node and writes the outcome to the store on the condition that no
- * other node has.  Two leaders for a short time do no harm.
+ * to every node and writes the outcome to the store.  A divided mesh has
+ * several leaders; mesh/move_record.c says how they agree on the outcome.
  */
 
 /* Interval at which the leader evaluates each move. */
@@ -26,6 +26,8 @@
  * a node reads the orders itself.
  */
 #define CONFIRM_BY_RELAY_US (800 * BF_US_PER_MS)
+/* Longest wait of the watch for outcomes. */
+#define OUTCOMES_WAIT_MS 2500
 /* Recent results are those of the last one to two spans of this length. */
 #define SPAN_US BF_US_PER_S
 
@@ -71,21 +73,60 @@
 	    "reason", move->reason);
 }
 
-/* Ends an active move if the store has its final outcome. */
 static void
-adopt_outcome(bf_tracked_move_t *tracked, bf_time_us_t now_us)
+write_move(bf_wire_writer_t *writer, const bf_move_t *move)
 {
-	bf_move_t *move = &tracked->move;
+	bf_wire_write_text(writer, move->service);
+	bf_wire_write_text(writer, move->version);
+	bf_wire_write_uint(writer, move->order_revision);
+	bf_wire_write_uint(writer, (uint64_t)move->duration_us);
+	bf_wire_write_uint(writer, move->state);
+	bf_wire_write_uint(writer, move->share_ppm);
+	bf_wire_write_uint(writer, move->settled_revision);
+}
 
-	if (!tracked->has_stored || tracked->stored_state == BF_MOVE_ACTIVE ||
-	    tracked->outcome_revision < move->order_revision ||
-	    strcmp(tracked->stored_version, move->version) != 0 ||
-	    move->state != BF_MOVE_ACTIVE)
+static void
+send_to_all(bf_tracked_move_t *tracked, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = tracked->mesh;
+	bf_peer_t *peer;
+
+	tracked->announced_at_us = now_us;
+	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
+		if (peer->self || !peer->connected)
+			continue;
+		write_move(&mesh->writer, &tracked->move);
+		bf_mesh_link_send(
+		    peer->link, BF_FRAME_MOVE, 0, &mesh->writer, NULL, now_us);
+	}
+}
+
+/* Takes over a final state from the store and sends it to all nodes. */
+static void
+settle(bf_tracked_move_t *tracked, bf_time_us_t now_us)
+{
+	bf_move_state_t before = tracked->move.state;
+
+	if (!bf_move_settle(&tracked->move, &tracked->record))
 		return;
-	move->state = tracked->stored_state;
-	move->share_ppm =
-	    tracked->stored_state == BF_MOVE_COMPLETED ? BF_SHARE_ALL_PPM : 0;
-	log_move(tracked, "outcome read", now_us);
+	if (tracked->move.state != before) {
+		(void)snprintf(tracked->move.reason,
+		    sizeof(tracked->move.reason), "%s in the store, was %s",
+		    bf_move_state_name(tracked->move.state),
+		    bf_move_state_name(before));
+		log_move(tracked, "outcome read", now_us);
+	}
+	send_to_all(tracked, now_us);
+}
+
+/* Whether the item's key is the prefix followed by the service. */
+static bool
+is_key_of(const bf_kv_item_t *item, const char *prefix, const char *service)
+{
+	size_t bytes = strlen(prefix);
+
+	return strncmp(item->key, prefix, bytes) == 0 &&
+	    strcmp(item->key + bytes, service) == 0;
 }
 
 void
@@ -98,19 +139,16 @@
 
 	if (item->deleted ||
 	    mesh->dialect->decode_outcome(
-		item->data, item->data_bytes, &outcome, &err) != BF_OK) {
+		item->data, item->data_bytes, &outcome, &err) != BF_OK ||
+	    !is_key_of(item, mesh->dialect->outcome_prefix, outcome.service)) {
 		bf_event(mesh->events, BF_EVENT_ENTRY_REFUSED, now_us, "s:s",
 		    "key", item->key);
 		return;
 	}
 	tracked = find_or_add_move(mesh, outcome.service);
-	if (tracked == NULL || item->revision <= tracked->outcome_revision)
+	if (tracked == NULL || item->revision <= tracked->record.revision)
 		return;
-	tracked->has_stored = true;
-	tracked->stored_state = outcome.state;
-	tracked->outcome_revision = item->revision;
-	(void)snprintf(tracked->stored_version, sizeof(tracked->stored_version),
-	    "%s", outcome.version);
+	bf_move_record_read(&tracked->record, &outcome, item->revision);
 	if (!tracked->ordered) {
 		/* Its order may have been deleted; the outcome still holds. */
 		(void)snprintf(tracked->move.version,
@@ -118,8 +156,9 @@
 		tracked->move.state = outcome.state;
 		tracked->move.share_ppm =
 		    outcome.state == BF_MOVE_COMPLETED ? BF_SHARE_ALL_PPM : 0;
+		return;
 	}
-	adopt_outcome(tracked, now_us);
+	settle(tracked, now_us);
 }
 
 static void
@@ -281,17 +320,6 @@
 	return leader != NULL && leader->self;
 }
 
-static void
-write_move(bf_wire_writer_t *writer, const bf_move_t *move)
-{
-	bf_wire_write_text(writer, move->service);
-	bf_wire_write_text(writer, move->version);
-	bf_wire_write_uint(writer, move->order_revision);
-	bf_wire_write_uint(writer, (uint64_t)move->duration_us);
-	bf_wire_write_uint(writer, move->state);
-	bf_wire_write_uint(writer, move->share_ppm);
-}
-
 void
 bf_movement_send_all(bf_mesh_t *mesh, bf_mesh_link_t *link, bf_time_us_t now_us)
 {
@@ -324,22 +352,6 @@
 	}
 }
 
-static void
-send_to_all(bf_tracked_move_t *tracked, bf_time_us_t now_us)
-{
-	bf_mesh_t *mesh = tracked->mesh;
-	bf_peer_t *peer;
-
-	tracked->announced_at_us = now_us;
-	for (peer = mesh->peers; peer != NULL; peer = peer->next) {
-		if (peer->self || !peer->connected)
-			continue;
-		write_move(&mesh->writer, &tracked->move);
-		bf_mesh_link_send(
-		    peer->link, BF_FRAME_MOVE, 0, &mesh->writer, NULL, now_us);
-	}
-}
-
 void
 bf_movement_apply_order(
     bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
@@ -359,13 +371,24 @@
 		return;
 	bf_move_begin(&tracked->move, &order, item->revision, now_us);
 	tracked->ordered = true;
+	tracked->record.order_deleted = false;
 	tracked->span_start_us = 0;
-	adopt_outcome(tracked, now_us);
+	(void)bf_move_settle(&tracked->move, &tracked->record);
 	log_move(tracked, "ordered", now_us);
 	/* Only relays read orders from the store: send it to the others. */
 	send_to_all(tracked, now_us);
 }
 
+/* Whether a peer that leads the active move reports its share. */
+static bool
+is_share_of_leader(bf_mesh_t *mesh, const bf_peer_t *peer,
+    const bf_move_t *received, const bf_move_t *own)
+{
+	return received->order_revision == own->order_revision &&
+	    received->state == BF_MOVE_ACTIVE && own->state == BF_MOVE_ACTIVE &&
+	    find_leader(mesh) == peer;
+}
+
 void
 bf_movement_receive(bf_mesh_t *mesh, bf_peer_t *peer, bf_wire_reader_t *reader,
     bf_time_us_t now_us)
@@ -383,21 +406,18 @@
 	    (bf_move_state_t)bf_wire_read_uint(reader, BF_MOVE_ROLLED_BACK);
 	received.share_ppm =
 	    (uint32_t)bf_wire_read_uint(reader, BF_SHARE_ALL_PPM);
+	/* Not sent by earlier versions. */
+	if (!bf_wire_reader_done(reader))
+		received.settled_revision =
+		    bf_wire_read_uint(reader, UINT64_MAX);
 	if (reader->code != BF_OK)
 		return;
 	tracked = find_or_add_move(mesh, received.service);
-	if (tracked == NULL ||
-	    received.order_revision < tracked->move.order_revision)
+	if (tracked == NULL)
 		return;
 	newer = received.order_revision > tracked->move.order_revision;
-	/*
-	 * A final state is accepted from any node and never changes; a share is
-	 * accepted from the leader only.
-	 */
-	if (!newer && tracked->move.state != BF_MOVE_ACTIVE)
-		return;
-	if (!newer && received.state == BF_MOVE_ACTIVE &&
-	    find_leader(mesh) != peer)
+	if (!bf_move_supersedes(&received, &tracked->move) &&
+	    !is_share_of_leader(mesh, peer, &received, &tracked->move))
 		return;
 	differs = newer || received.state != tracked->move.state ||
 	    received.share_ppm != tracked->move.share_ppm;
@@ -409,8 +429,11 @@
 	    "received from %s", peer->instance);
 	tracked->move = received;
 	tracked->ordered = true;
+	if (newer)
+		tracked->record.order_deleted = false;
 	if (differs)
 		log_move(tracked, "told", now_us);
+	settle(tracked, now_us);
 }
 
 static const bf_run_tallies_t *
@@ -501,6 +524,42 @@
 	return bf_move_step(&tracked->move, &evidence, now_us);
 }
 
+/* The operators' key of the order, which is only a condition of the write. */
+static void
+order_key(const bf_tracked_move_t *tracked, char *key, size_t key_bytes)
+{
+	(void)snprintf(key, key_bytes, "%s%s",
+	    tracked->mesh->dialect->order_prefix, tracked->move.service);
+}
+
+/* Handles the present items of the keys of a write that was refused. */
+static void
+read_conflict(
+    bf_tracked_move_t *tracked, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	char order[2 * BF_NAME_BYTES];
+	const bf_kv_item_t *item;
+	size_t i;
+
+	order_key(tracked, order, sizeof(order));
+	for (i = 0; i < reply->item_count; i++) {
+		item = &reply->items[i];
+		if (strcmp(item->key, order) == 0) {
+			tracked->record.order_deleted = item->revision == 0;
+			if (item->revision > tracked->move.order_revision)
+				bf_config_source_refresh_orders(
+				    tracked->mesh, now_us);
+		} else if (item->data == NULL) {
+			tracked->record.revision = 0;
+			tracked->record.is_known = false;
+		} else {
+			bf_movement_apply_outcome(tracked->mesh, item, now_us);
+			bf_move_record_read(
+			    &tracked->record, NULL, item->revision);
+		}
+	}
+}
+
 static void
 on_written(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
@@ -508,27 +567,17 @@
 	    BF_CONTAINER(call, bf_tracked_move_t, write_call);
 	bf_mesh_t *mesh = tracked->mesh;
 
-	tracked->write_pending = false;
 	bf_mesh_record_store_call(mesh, BF_STORE_OUTCOME, reply->code, now_us);
 	if (reply->code == BF_OK) {
-		tracked->has_stored = true;
-		tracked->outcome_revision = reply->revision;
+		bf_move_record_written(&tracked->record, reply->revision);
 		log_move(tracked, "outcome written", now_us);
-	} else if (reply->code == BF_ERR_CONFLICT && reply->item_count > 0) {
-		/* Another node was first, or an earlier write succeeded. */
-		tracked->has_stored = false;
-		if (reply->items[0].data != NULL)
-			bf_movement_apply_outcome(
-			    mesh, &reply->items[0], now_us);
-		else
-			tracked->outcome_revision = 0;
-		/* An entry that cannot be read is overwritten. */
-		if (reply->items[0].revision > tracked->outcome_revision)
-			tracked->outcome_revision = reply->items[0].revision;
-	} else {
-		/* Failed, or the result is unknown: the next tick retries. */
-		tracked->has_stored = false;
+		settle(tracked, now_us);
+		return;
 	}
+	/* Where the result is unknown, the next tick writes again. */
+	bf_move_record_write_failed(&tracked->record);
+	if (reply->code == BF_ERR_CONFLICT)
+		read_conflict(tracked, reply, now_us);
 }
 
 /* Writes the state of a move to the store unless it is there already. */
@@ -536,34 +585,32 @@
 write_outcome(bf_tracked_move_t *tracked, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = tracked->mesh;
-	bf_move_t *move = &tracked->move;
-	bf_move_outcome_t outcome = { .state = move->state };
-	char key[2 * BF_NAME_BYTES];
+	bf_move_record_t *record = &tracked->record;
+	char key[2 * BF_NAME_BYTES], order[2 * BF_NAME_BYTES];
 	bf_bytes_t data = { 0 };
-	bf_kv_write_t write;
+	bf_kv_write_t writes[2];
 
-	if (tracked->write_pending ||
-	    (tracked->has_stored && tracked->stored_state == move->state &&
-		strcmp(tracked->stored_version, move->version) == 0))
+	if (!bf_move_record_needs_write(record, &tracked->move))
 		return;
-	memcpy(outcome.service, move->service, sizeof(outcome.service));
-	memcpy(outcome.version, move->version, sizeof(outcome.version));
+	bf_move_record_begin_write(record, &tracked->move);
 	(void)snprintf(key, sizeof(key), "%s%s", mesh->dialect->outcome_prefix,
-	    move->service);
-	mesh->dialect->encode_outcome(&outcome, &data);
-	write = (bf_kv_write_t){
+	    tracked->move.service);
+	order_key(tracked, order, sizeof(order));
+	mesh->dialect->encode_outcome(&record->written, &data);
+	writes[0] = (bf_kv_write_t){
 		.key = key,
 		.data = bf_bytes_data(&data),
 		.data_bytes = bf_bytes_count(&data),
-		.expected_revision = tracked->outcome_revision,
+		.expected_revision = record->revision,
+	};
+	writes[1] = (bf_kv_write_t){
+		.key = order,
+		.expected_revision =
+		    bf_move_record_order_revision(record, &tracked->move),
 	};
-	tracked->write_pending = true;
-	tracked->stored_state = move->state;
-	memcpy(tracked->stored_version, move->version,
-	    sizeof(tracked->stored_version));
 	tracked->write_call.done = on_written;
 	mesh->kv->vtable->write(
-	    mesh->kv, &tracked->write_call, &write, 1, now_us);
+	    mesh->kv, &tracked->write_call, writes, 2, now_us);
 	bf_bytes_free(&data);
 }
 
@@ -618,15 +665,66 @@
 						  : RUNS_INTERVAL_MIN_US;
 }
 
+static void
+on_outcome(
+    bf_kv_watcher_t *watcher, const bf_kv_item_t *item, bf_time_us_t now_us)
+{
+	bf_movement_apply_outcome(
+	    BF_CONTAINER(watcher, bf_mesh_t, outcome_keys), item, now_us);
+}
+
+static void
+on_outcomes_call_done(
+    bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us)
+{
+	bf_mesh_record_store_call(
+	    BF_CONTAINER(watcher, bf_mesh_t, outcome_keys), BF_STORE_OUTCOMES,
+	    code, now_us);
+}
+
+static const bf_kv_watcher_vtable_t outcome_keys_vtable = {
+	.on_item = on_outcome,
+	.on_call_done = on_outcomes_call_done,
+};
+
+/*
+ * The leader of an active move watches the outcomes: the leader of another part
+ * of a divided mesh may end the move first.
+ */
+static void
+watch_outcomes(bf_mesh_t *mesh, bool wanted, bf_time_us_t now_us)
+{
+	if (wanted == mesh->watching_outcomes)
+		return;
+	mesh->watching_outcomes = wanted;
+	if (!wanted) {
+		bf_kv_watcher_stop(&mesh->outcome_keys);
+		return;
+	}
+	mesh->outcome_keys = (bf_kv_watcher_t){
+		.vtable = &outcome_keys_vtable,
+		.kv = mesh->kv,
+		.loop = mesh->loop,
+		.prefix = mesh->dialect->outcome_prefix,
+		.wait_ms = OUTCOMES_WAIT_MS,
+		.random = bf_random_next(&mesh->random),
+	};
+	bf_kv_watcher_start(&mesh->outcome_keys, now_us);
+}
+
 void
 bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
+	bool leading, active = false;
 	bf_tracked_move_t *tracked;
-	bool leading;
 	uint32_t i;
 
 	check_unconfirmed(mesh, now_us);
 	leading = mesh->move_count > 0 && is_leader(mesh);
+	for (i = 0; i < mesh->move_count; i++)
+		active |= mesh->moves[i].move.order_revision != 0 &&
+		    mesh->moves[i].move.state == BF_MOVE_ACTIVE;
+	watch_outcomes(mesh, leading && active, now_us);
 	for (i = 0; i < mesh->move_count; i++) {
 		tracked = &mesh->moves[i];
 		if (now_us - tracked->evaluated_at_us < EVALUATE_INTERVAL_US)
@@ -650,6 +748,7 @@
 {
 	uint32_t i;
 
+	watch_outcomes(mesh, false, 0);
 	for (i = 0; i < mesh->move_count; i++) {
 		if (mesh->moves[i].write_call.pending != NULL)
 			mesh->kv->vtable->cancel(
--- a/store/async.h
+++ b/store/async.h
@@ -47,10 +47,13 @@
 	void *pending; /* call in progress, for the implementation; or NULL */
 };
 
-/* Takes effect only if the key has expected_revision (0: does not exist). */
+/*
+ * Takes effect only if the key has expected_revision (0: does not exist).
+ * Without data it is a condition of the other writes only.
+ */
 typedef struct bf_kv_write {
 	const char *key;
-	const void *data;
+	const void *data; /* NULL: the key is not written */
 	size_t data_bytes;
 	uint64_t lease;
 	uint64_t expected_revision;
@@ -72,8 +75,9 @@
 	void (*watch)(bf_kv_t *kv, bf_kv_call_t *call, const char *prefix,
 	    uint64_t after_revision, uint32_t wait_ms, bf_time_us_t now_us);
 	/*
-	 * Does all writes or none.  BF_ERR_CONFLICT with the current items if
-	 * a condition does not hold; BF_ERR_NOT_FOUND if a lease has ended.
+	 * Does all writes or none.  BF_ERR_CONFLICT with the current items of
+	 * all keys if a condition does not hold; BF_ERR_NOT_FOUND if a lease
+	 * has ended.
 	 */
 	void (*write)(bf_kv_t *kv, bf_kv_call_t *call,
 	    const bf_kv_write_t *writes, size_t count, bf_time_us_t now_us);
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -196,6 +196,17 @@
 		    .lease = key->lease };
 }
 
+static void
+add_absent_item(store_call_t *entry, const char *key)
+{
+	(void)snprintf(entry->absent_keys[entry->reply.item_count],
+	    sizeof(entry->absent_keys[0]), "%s", key);
+	entry->items[entry->reply.item_count] =
+	    (bf_kv_item_t){ .key =
+				entry->absent_keys[entry->reply.item_count] };
+	entry->reply.item_count++;
+}
+
 static void
 collect_items(store_call_t *entry, const char *prefix, uint64_t after)
 {
@@ -292,6 +303,7 @@
 	}
 	g_assert_cmpuint(bytes, <, sizeof(entry->data));
 	memcpy(entry->data, data, bytes);
+	entry->data[bytes] = '\0';
 	entry->data_bytes = bytes;
 	entry->lease = lease;
 	entry->revision = ++store->revision;
@@ -316,13 +328,21 @@
 		    writes[i].expected_revision)
 			continue;
 		entry->reply.code = BF_ERR_CONFLICT;
+	}
+	for (i = 0; entry->reply.code == BF_ERR_CONFLICT && i < count; i++) {
+		key = find_key(store, writes[i].key);
 		if (key != NULL)
 			add_item(entry, key);
+		else
+			add_absent_item(entry, writes[i].key);
+	}
+	if (entry->reply.code == BF_ERR_CONFLICT)
 		return;
+	for (i = 0; i < count; i++) {
+		if (writes[i].data != NULL)
+			store_put(store, writes[i].key, writes[i].data,
+			    writes[i].data_bytes, writes[i].lease);
 	}
-	for (i = 0; i < count; i++)
-		store_put(store, writes[i].key, writes[i].data,
-		    writes[i].data_bytes, writes[i].lease);
 	entry->reply.revision = store->revision;
 	if (store->drop_write_replies)
 		entry->reply = (bf_kv_reply_t){ .code = BF_ERR_UNSETTLED };
@@ -376,6 +396,14 @@
 	reply_to_watches(&fixture->store);
 }
 
+const char *
+fixture_stored(mesh_fixture_t *fixture, const char *key)
+{
+	const store_key_t *entry = find_key(&fixture->store, key);
+
+	return entry != NULL ? entry->data : NULL;
+}
+
 void
 fixture_configure(mesh_fixture_t *fixture, const char *text)
 {
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -79,6 +79,7 @@
 
 #define STORE_KEYS_MAX 32
 #define STORE_CALLS_MAX 64
+#define STORE_WRITES_MAX 4 /* of one call */
 
 typedef struct store_call {
 	bf_timer_t timer;
@@ -89,6 +90,7 @@
 	bool is_watch;
 	bf_kv_reply_t reply;
 	bf_kv_item_t items[STORE_KEYS_MAX];
+	char absent_keys[STORE_WRITES_MAX][128];
 } store_call_t;
 
 typedef struct memory_store {
@@ -154,6 +156,9 @@
 /* Writes a key to the store, as an operator would. */
 void fixture_put(mesh_fixture_t *fixture, const char *key, const char *data);
 
+/* The value of a key of the store; NULL: the key is absent. */
+const char *fixture_stored(mesh_fixture_t *fixture, const char *key);
+
 /*
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1355,6 +1355,64 @@
 	fixture_free(fixture);
 }
 
+/*
+ * Another leader's outcome is in the store, and this node's leader decides
+ * differently, before or after it can read that: a stored outcome was replaced,
+ * and once its targets had gone, no version was left for the service.
+ */
+static void
+test_first_outcome_holds(void)
+{
+	static const bf_move_state_t ends[] = { BF_MOVE_COMPLETED,
+		BF_MOVE_ROLLED_BACK };
+	mesh_fixture_t *fixture;
+	char stored[32];
+	uint32_t i, node;
+
+	for (i = 0; i < 4; i++) {
+		fixture = new_configured(2);
+		fixture_put(fixture, "ops/move/shop", "shop v2 60000");
+		fixture_run(fixture, BF_US_PER_S);
+		(void)snprintf(
+		    stored, sizeof(stored), "shop v2 %u", ends[i % 2]);
+		fixture->store.down = i >= 2;
+		if (i >= 2)
+			fixture_run(fixture, BF_US_PER_S / 2);
+		fixture->nodes[0]->moves[0].move.state = ends[1 - i % 2];
+		fixture_put(fixture, "out/shop", stored);
+		fixture_run(fixture, BF_US_PER_S / 2);
+		fixture->store.down = false;
+		fixture_run(fixture, 3 * BF_US_PER_S);
+		g_assert_cmpstr(
+		    fixture_stored(fixture, "out/shop"), ==, stored);
+		for (node = 0; node < 2; node++)
+			g_assert_cmpint(
+			    fixture->nodes[node]->moves[0].move.state, ==,
+			    ends[i % 2]);
+		fixture_free(fixture);
+	}
+}
+
+/*
+ * While the mesh is divided, a version that one part has taken back gets no
+ * more calls from the other part, although that has seen no failure.
+ */
+static void
+test_outcome_of_other_part(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+
+	fixture_put(fixture, "ops/move/shop", "shop v2 60000");
+	fixture_run(fixture, BF_US_PER_S);
+	fixture_put(fixture, "out/shop", "shop v2 2");
+	fixture_run(fixture, BF_US_PER_S);
+	g_assert_cmpint(
+	    fixture->nodes[0]->moves[0].move.state, ==, BF_MOVE_ROLLED_BACK);
+	g_assert_cmpint(
+	    fixture->nodes[1]->moves[0].move.state, ==, BF_MOVE_ROLLED_BACK);
+	fixture_free(fixture);
+}
+
 /* A move to a good version is completed on all nodes. */
 static void
 test_good_move(void)
@@ -1972,6 +2030,8 @@
 	g_test_add_func("/mesh/reused-address", test_reused_address);
 	g_test_add_func("/mesh/taken-back", test_rolled_back);
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
+	g_test_add_func("/mesh/first-outcome", test_first_outcome_holds);
+	g_test_add_func("/mesh/other-part", test_outcome_of_other_part);
 	g_test_add_func("/mesh/good-move", test_good_move);
 	g_test_add_func("/mesh/bad-move", test_bad_move);
 	g_test_add_func("/mesh/load-reports", test_load_reports);
