Do not take a reset for the orderly end of an answer

Cause: the send that failed took the socket's pending error, so that the next read returned 0 as at an orderly end, which completes an answer without a length (RFC 9112, 8).

Ruled out: the parser (answers in chunks and with a length fail in the same endings) and the order of EPOLLOUT and EPOLLIN alone (the flush at the end of an iteration sends too).

Change: a connection whose send failed ends in order only if the peer's end of stream was reported before an error. Such a connection is also not kept after a whole answer, as its request was not sent whole.

Test: test_http answer-endings, 72 endings; failed on ("answered" instead of "broken"), passes now.

--- a/http/client.c
+++ b/http/client.c
@@ -118,7 +118,8 @@
 		bf_tcp_finish(&conn->tcp);
 		return;
 	}
-	if (!message->keep_alive || message->until_close) {
+	if (!message->keep_alive || message->until_close ||
+	    conn->tcp.send_failed) {
 		drop_conn(conn);
 		return;
 	}
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -56,9 +56,11 @@
 {
 	if (!flush(tcp)) {
 		/*
-		 * A reset is reported by the next read, after the bytes that
-		 * were received before it.
+		 * The bytes that were received before the failure are still
+		 * there.  The read that follows them returns an end of stream
+		 * even after a reset, as the failed send took the error.
 		 */
+		tcp->send_failed = true;
 		bf_bytes_clear(&tcp->out);
 		if (tcp->close_when_flushed)
 			close_and_report(tcp, false, now_us);
@@ -108,7 +110,9 @@
 	if (n < 0 && errno == EAGAIN)
 		return;
 	if (n <= 0)
-		close_and_report(tcp, n == 0, now_us);
+		close_and_report(tcp,
+		    n == 0 && (!tcp->send_failed || tcp->peer_finished),
+		    now_us);
 	else
 		tcp->vtable->received(tcp, buffer, (size_t)n, now_us);
 }
@@ -120,6 +124,8 @@
 
 	if (tcp->connecting && !finish_connect(tcp, now_us))
 		return;
+	if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == EPOLLRDHUP)
+		tcp->peer_finished = true;
 	if ((events & EPOLLOUT) != 0) {
 		flush_or_close(tcp, now_us);
 		if (!bf_tcp_is_open(tcp))
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -36,6 +36,8 @@
 	bool blocked;            /* the send buffer of the kernel is full */
 	bool close_when_flushed; /* close once all bytes are written */
 	bool peer_closed;        /* bytes sent before may still be unread */
+	bool peer_finished;      /* its end of stream came before any reset */
+	bool send_failed;        /* the peer did not get all bytes */
 	uint64_t sent_bytes;
 };
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -2,6 +2,7 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "http/client.h"
 #include "http/server.h"
@@ -364,6 +365,145 @@
 	fixture_free(&fixture);
 }
 
+#define ANSWER_UNFRAMED "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"
+#define ANSWER_FRAMED "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf"
+#define ANSWER_CHUNKED \
+	"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"
+
+/* What the server does after it has sent its answer. */
+typedef enum ending {
+	ENDING_RESET,
+	ENDING_READ_RESET, /* reads the whole request first */
+	ENDING_FIN,        /* with the request unread */
+	ENDING_READ_FIN,
+	ENDING_FIN_RESET /* the loop runs in between */
+} ending_t;
+
+typedef struct ending_case {
+	const char *answer;
+	ending_t ending;
+	bf_http_result_t result;
+} ending_case_t;
+
+/* Reads what the client has sent, and lets it send on. */
+static void
+read_request(fixture_t *fixture, int fd)
+{
+	static uint8_t buffer[1 << 16];
+	int idle_rounds = 0;
+
+	while (idle_rounds < 3) {
+		if (recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT) > 0) {
+			idle_rounds = 0;
+			continue;
+		}
+		idle_rounds++;
+		run_for(fixture, 5);
+	}
+}
+
+static void
+end_connection(fixture_t *fixture, int fd, ending_t ending)
+{
+	struct linger no_linger = { .l_onoff = 1, .l_linger = 0 };
+
+	if (ending == ENDING_READ_RESET || ending == ENDING_READ_FIN)
+		read_request(fixture, fd);
+	if (ending == ENDING_FIN || ending == ENDING_READ_FIN ||
+	    ending == ENDING_FIN_RESET)
+		g_assert_cmpint(shutdown(fd, SHUT_WR), ==, 0);
+	if (ending == ENDING_FIN || ending == ENDING_FIN_RESET)
+		run_for(fixture, 10);
+	if (ending != ENDING_READ_FIN)
+		g_assert_cmpint(setsockopt(fd, SOL_SOCKET, SO_LINGER,
+				    &no_linger, sizeof(no_linger)),
+		    ==, 0);
+	close(fd);
+}
+
+static void
+play_ending(const ending_case_t *ending, size_t body_bytes, bool read_before)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	socklen_t bytes = sizeof(address);
+	bf_bytes_t head = { 0 }, body = { 0 };
+	static const uint8_t zeros[1024];
+	exchange_t exchange;
+	fixture_t fixture;
+	int listener, fd;
+	size_t i;
+
+	fixture_init(&fixture);
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(listener, (struct sockaddr *)&address, bytes), ==, 0);
+	g_assert_cmpint(listen(listener, 1), ==, 0);
+	g_assert_cmpint(
+	    getsockname(listener, (struct sockaddr *)&address, &bytes), ==, 0);
+	fixture.client.address = address;
+	memset(&exchange, 0, sizeof(exchange));
+	exchange.exchange.done = on_done;
+	bf_bytes_format(&head,
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %zu\r\n\r\n",
+	    body_bytes);
+	for (i = 0; i < body_bytes; i += sizeof(zeros))
+		bf_bytes_add(&body, zeros, sizeof(zeros));
+	g_assert_true(bf_http_send(&fixture.client, &exchange.exchange, &head,
+	    &body, BF_US_PER_S, bf_clock_monotonic_us()));
+	run_for(&fixture, 10);
+	fd = accept(listener, NULL, NULL);
+	g_assert_cmpint(fd, >=, 0);
+	g_assert_cmpint(
+	    send(fd, ending->answer, strlen(ending->answer), 0), >, 0);
+	if (read_before)
+		run_for(&fixture, 10);
+	end_connection(&fixture, fd, ending->ending);
+	run_for(&fixture, 30);
+	g_assert_true(exchange.ended);
+	g_assert_cmpint(exchange.result, ==, ending->result);
+	/* A connection on which the request was not sent whole is not kept. */
+	g_assert_null(fixture.client.idle);
+	bf_bytes_free(&head);
+	bf_bytes_free(&body);
+	close(listener);
+	fixture_free(&fixture);
+}
+
+/*
+ * An answer that a reset cuts off was taken for a whole one when the client was
+ * still sending its request: the send that failed hid the reset from the read.
+ * Whatever the client sends or reads first, an answer without a length is whole
+ * only after an end of stream, and one with a length is whole if it is there.
+ */
+static void
+test_answer_endings(void)
+{
+	static const ending_case_t cases[] = {
+		{ ANSWER_UNFRAMED, ENDING_RESET, BF_HTTP_BROKEN },
+		{ ANSWER_UNFRAMED, ENDING_READ_RESET, BF_HTTP_BROKEN },
+		{ ANSWER_UNFRAMED, ENDING_FIN, BF_HTTP_ANSWERED },
+		{ ANSWER_UNFRAMED, ENDING_READ_FIN, BF_HTTP_ANSWERED },
+		{ ANSWER_UNFRAMED, ENDING_FIN_RESET, BF_HTTP_ANSWERED },
+		{ ANSWER_CHUNKED, ENDING_RESET, BF_HTTP_BROKEN },
+		{ ANSWER_CHUNKED, ENDING_READ_RESET, BF_HTTP_BROKEN },
+		{ ANSWER_CHUNKED, ENDING_READ_FIN, BF_HTTP_BROKEN },
+		{ ANSWER_CHUNKED, ENDING_FIN_RESET, BF_HTTP_BROKEN },
+		{ ANSWER_FRAMED, ENDING_RESET, BF_HTTP_ANSWERED },
+		{ ANSWER_FRAMED, ENDING_READ_RESET, BF_HTTP_ANSWERED },
+		{ ANSWER_FRAMED, ENDING_READ_FIN, BF_HTTP_ANSWERED },
+	};
+	static const size_t body_bytes[] = { 0, 4096, 12 << 20 };
+	size_t i, k;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (k = 0; k < G_N_ELEMENTS(body_bytes); k++) {
+			play_ending(&cases[i], body_bytes[k], false);
+			play_ending(&cases[i], body_bytes[k], true);
+		}
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -375,5 +515,6 @@
 	g_test_add_func("/http/kept-connection", test_keep_alive);
 	g_test_add_func("/http/ends", test_exchange_results);
 	g_test_add_func("/http/slow-head", test_slow_head);
+	g_test_add_func("/http/answer-endings", test_answer_endings);
 	return g_test_run();
 }
