Discard trailer fields

Cause: trailer fields were appended to the header fields after these had been terminated and checked. The last value had no end, so that bytes of the heap were printed into the head that was sent on; the others were forwarded as header fields, whatever they named.

Ruled out: the body, which was intact in the message, and the framing by chunks, with which the case holds when the field is left out.

Change: trailer fields are counted against the limit of a head and discarded (RFC 9110, 6.5.1). Space behind a field's value is not part of it (5.5).

Tests: test_http trailers failed on (8 fields instead of 3); endless-trailers passed there. test_proxy_faults trailers shows that basilnoded does not forward them; it did not before either.

--- a/base/bytes.c
+++ b/base/bytes.c
@@ -89,6 +89,13 @@
 	bytes->end += (size_t)n;
 }
 
+void
+bf_bytes_truncate(bf_bytes_t *bytes, size_t count)
+{
+	if (count < bf_bytes_count(bytes))
+		bytes->end = bytes->start + count;
+}
+
 void
 bf_bytes_clear(bf_bytes_t *bytes)
 {
--- a/base/bytes.h
+++ b/base/bytes.h
@@ -29,6 +29,8 @@
 
 /* Removes count bytes from the start. */
 void bf_bytes_consume(bf_bytes_t *bytes, size_t count);
+/* Removes bytes from the end, so that count are left. */
+void bf_bytes_truncate(bf_bytes_t *bytes, size_t count);
 void bf_bytes_clear(bf_bytes_t *bytes);
 
 static inline size_t
--- a/http/message.c
+++ b/http/message.c
@@ -135,17 +135,27 @@
 	reader->message = bf_http_message_new();
 	reader->head_bytes = 0;
 	reader->in_value = false;
+	reader->in_trailers = false;
 	if (reader->message == NULL)
 		return fail(reader, BF_HTTP_NO_MEMORY);
 	return 0;
 }
 
+/* Counts bytes of the head, or of the trailer fields, against the limit. */
 static int
-add_text(bf_http_reader_t *reader, const char *at, size_t bytes)
+count_text(bf_http_reader_t *reader, size_t bytes)
 {
 	reader->head_bytes += bytes;
-	if (reader->head_bytes > reader->head_bytes_max)
-		return fail(reader, BF_HTTP_HEAD_TOO_LARGE);
+	return reader->head_bytes > reader->head_bytes_max
+	    ? fail(reader, BF_HTTP_HEAD_TOO_LARGE)
+	    : 0;
+}
+
+static int
+add_text(bf_http_reader_t *reader, const char *at, size_t bytes)
+{
+	if (count_text(reader, bytes) != 0)
+		return -1;
 	bf_bytes_add(&reader->message->text, at, bytes);
 	return reader->message->text.failed ? fail(reader, BF_HTTP_NO_MEMORY)
 					    : 0;
@@ -157,6 +167,21 @@
 	return add_text(reader, "", 1);
 }
 
+/* Space around a value is not part of it (RFC 9110, 5.5). */
+static int
+terminate_value(bf_http_reader_t *reader)
+{
+	bf_http_message_t *message = reader->message;
+	size_t begin = message->fields[message->field_count - 1].value;
+	const char *text = (const char *)bf_bytes_data(&message->text);
+	size_t end = bf_bytes_count(&message->text);
+
+	while (end > begin && (text[end - 1] == ' ' || text[end - 1] == '\t'))
+		end--;
+	bf_bytes_truncate(&message->text, end);
+	return terminate_text(reader);
+}
+
 static int
 on_url(http_parser *parser, const char *at, size_t bytes)
 {
@@ -169,10 +194,13 @@
 	bf_http_reader_t *reader = reader_of(parser);
 	bf_http_message_t *message = reader->message;
 
+	if (reader->in_trailers)
+		return count_text(reader, bytes);
 	if (message->field_count == 0 || reader->in_value) {
 		if (message->field_count == BF_HTTP_FIELDS_MAX)
 			return fail(reader, BF_HTTP_HEAD_TOO_LARGE);
-		if (terminate_text(reader) != 0)
+		if ((reader->in_value ? terminate_value(reader)
+				      : terminate_text(reader)) != 0)
 			return -1;
 		message->fields[message->field_count++].name =
 		    (uint32_t)bf_bytes_count(&message->text);
@@ -187,6 +215,8 @@
 	bf_http_reader_t *reader = reader_of(parser);
 	bf_http_message_t *message = reader->message;
 
+	if (reader->in_trailers)
+		return count_text(reader, bytes);
 	if (!reader->in_value) {
 		if (terminate_text(reader) != 0)
 			return -1;
@@ -226,10 +256,13 @@
 	bf_http_reader_t *reader = reader_of(parser);
 	bf_http_message_t *message = reader->message;
 
-	if (terminate_text(reader) != 0)
+	if ((reader->in_value ? terminate_value(reader)
+			      : terminate_text(reader)) != 0)
 		return -1;
 	if (!names_are_tokens(message))
 		return fail(reader, BF_HTTP_MALFORMED);
+	reader->in_trailers = true;
+	reader->head_bytes = 0;
 	message->method = parser->method;
 	message->status = parser->status_code;
 	message->keep_alive = http_should_keep_alive(parser) != 0;
--- a/http/message.h
+++ b/http/message.h
@@ -11,7 +11,9 @@
 
 /*
  * A complete HTTP/1.1 message: its header fields as names and values in the
- * order received, and its body without framing.
+ * order received, and its body without framing.  Trailer fields are discarded:
+ * they must not become header fields (RFC 9110, 6.5.1), and a body that is sent
+ * on with its length has none.
  */
 
 #define BF_HTTP_FIELDS_MAX 100
@@ -75,12 +77,13 @@
 	const bf_http_reader_vtable_t *vtable;
 	http_parser parser;
 	bf_http_message_t *message; /* being parsed, or NULL */
-	uint64_t head_bytes_max;
+	uint64_t head_bytes_max;    /* of the head, and of all trailer fields */
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
 	uint32_t interim_count; /* responses of status 1xx */
 	bf_http_fault_t fault;
 	bool in_value;         /* the last piece of the head was a value */
+	bool in_trailers;      /* the head is complete */
 	bool single_message;   /* stop after the first message */
 	bool response_to_head; /* the response to a HEAD request has no body */
 	bool has_trailing_bytes; /* after a single_message */
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -351,6 +351,10 @@
 		    "X-Private: 1\r\nX-Public: 1\r\nKeep-Alive: timeout=5\r\n"
 		    "Content-Length: 0\r\n\r\n",
 		    true },
+		{ "/trailers",
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "5\r\nhello\r\n0\r\nChecksum: 1\r\nX-Late: 2\r\n\r\n",
+		    true },
 		{ "/late",
 		    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
 		    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -77,6 +77,97 @@
 	}
 }
 
+static void
+feed_in_pieces(collector_t *collector, const char *text, size_t piece,
+    bf_http_fault_t fault)
+{
+	size_t bytes = strlen(text), at, n;
+	bf_http_fault_t last = BF_HTTP_OK;
+
+	for (at = 0; at < bytes && last == BF_HTTP_OK; at += n) {
+		n = bytes - at < piece ? bytes - at : piece;
+		last = bf_http_reader_feed(
+		    &collector->reader, (const uint8_t *)text + at, n);
+	}
+	g_assert_cmpint(last, ==, fault);
+}
+
+#define REQUEST_CHUNKED                                  \
+	"POST /a HTTP/1.1\r\nHost: h\r\nTimeout: 6 \r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+#define RESPONSE_CHUNKED                       \
+	"HTTP/1.1 200 OK\r\nTimeout: 6\t \r\n" \
+	"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+#define TRAILERS                                       \
+	"0\r\nChecksum: 0123456789\r\nHost: other\r\n" \
+	"Content-Length: 7\r\nEmpty:\r\nLast: x\r\n\r\n"
+
+/*
+ * Trailer fields became header fields, and the last one was not terminated, so
+ * that bytes of the heap got into the request that was sent on.  They are no
+ * part of the message, whatever they name, and neither they nor the space
+ * behind a value change what follows.
+ */
+static void
+test_trailers(void)
+{
+	static const struct {
+		const char *text;
+		bool is_request;
+	} cases[] = {
+		{ REQUEST_CHUNKED TRAILERS REQUEST_CHUNKED TRAILERS, true },
+		{ RESPONSE_CHUNKED TRAILERS RESPONSE_CHUNKED TRAILERS, false },
+	};
+	const bf_http_message_t *message;
+	collector_t collector;
+	size_t i, k, piece;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		for (piece = 1; piece <= strlen(cases[i].text); piece++) {
+			collector_init(&collector, cases[i].is_request);
+			feed_in_pieces(
+			    &collector, cases[i].text, piece, BF_HTTP_OK);
+			g_assert_cmpuint(collector.messages->len, ==, 2);
+			for (k = 0; k < 2; k++) {
+				message =
+				    g_ptr_array_index(collector.messages, k);
+				g_assert_cmpuint(message->field_count, ==,
+				    cases[i].is_request ? 3 : 2);
+				g_assert_cmpstr(
+				    bf_http_find(message, "Timeout"), ==, "6");
+				g_assert_null(
+				    bf_http_find(message, "Checksum"));
+				g_assert_null(
+				    bf_http_find(message, "Content-Length"));
+				g_assert_cmpuint(
+				    bf_bytes_count(&message->body), ==, 3);
+			}
+			collector_free(&collector);
+		}
+	}
+}
+
+/* Trailer fields without end are refused as a head without end is. */
+static void
+test_endless_trailers(void)
+{
+	GString *text = g_string_new(REQUEST_CHUNKED "0\r\n");
+	collector_t collector;
+	size_t piece;
+
+	while (text->len < 5000)
+		g_string_append(text, "Checksum: 0123456789\r\n");
+	for (piece = 1; piece < 200; piece += 17) {
+		collector_init(&collector, true);
+		collector.reader.head_bytes_max = 1000;
+		feed_in_pieces(
+		    &collector, text->str, piece, BF_HTTP_HEAD_TOO_LARGE);
+		g_assert_cmpuint(collector.messages->len, ==, 0);
+		collector_free(&collector);
+	}
+	g_string_free(text, TRUE);
+}
+
 /* Rejects what two parsers could read differently (request smuggling). */
 static void
 test_refused_requests(void)
@@ -510,6 +601,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/http/requests-in-pieces", test_requests_in_pieces);
 	g_test_add_func("/http/refused-requests", test_refused_requests);
+	g_test_add_func("/http/trailers", test_trailers);
+	g_test_add_func("/http/endless-trailers", test_endless_trailers);
 	g_test_add_func("/http/unframed", test_body_until_close);
 	g_test_add_func("/http/one-answer", test_single_response);
 	g_test_add_func("/http/kept-connection", test_keep_alive);
--- a/tests/test_proxy_faults.c
+++ b/tests/test_proxy_faults.c
@@ -279,6 +279,39 @@
 	mesh_close(&mesh);
 }
 
+/*
+ * Trailer fields of requests and answers are no part of the head that is sent
+ * on, and the connections are used again after them.
+ */
+static void
+test_trailers_are_not_forwarded(void)
+{
+	static const char text[] =
+	    "POST /a/trailers HTTP/1.1\r\nHost: permits\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n0\r\nChecksum: 1\r\nX-Late: 2\r\n\r\n"
+	    "POST /a/ok HTTP/1.1\r\nHost: permits\r\n"
+	    "Transfer-Encoding: chunked\r\n\r\n"
+	    "3\r\nabc\r\n0\r\nX-Body-Bytes: 9\r\n\r\n";
+	GString *raw_response;
+	const char *second;
+	mesh_t mesh;
+
+	mesh_open(&mesh, &one_target);
+	raw_response = raw_exchange(
+	    bf_proxy_caller_port(mesh.entry), text, strlen(text), LONG_WAIT_MS);
+	g_assert_cmpint(status_of(raw_response), ==, 200);
+	g_assert_null(strstr(raw_response->str, "Checksum"));
+	g_assert_null(strstr(raw_response->str, "X-Late"));
+	second = strstr(raw_response->str + 1, "HTTP/1.1 200");
+	g_assert_nonnull(second);
+	g_assert_nonnull(strstr(second, "X-Body-Bytes: 3\r\n"));
+	g_assert_cmpint(mesh.targets[0]->runs, ==, 2);
+	g_assert_cmpint(mesh.targets[0]->connections, ==, 1);
+	g_string_free(raw_response, TRUE);
+	mesh_close(&mesh);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -287,6 +320,7 @@
 	    "/faults/silent", test_dead_connections_fail_one_call_only);
 	g_test_add_func(
 	    "/faults/fresh", test_at_most_once_calls_use_new_connections);
+	g_test_add_func("/faults/trailers", test_trailers_are_not_forwarded);
 	g_test_add_func("/faults/heads", test_malformed_requests_are_refused);
 	g_test_add_func(
 	    "/faults/noise", test_malformed_input_does_not_stop_the_proxy);
