basilnoded: end an answer whose trailer section is too long

Reported by another operator: a faulty upstream sent bytes that were no answer, without end, until the machine that had called it ran out of memory. Here it could happen to basilnoded: 256 MB of trailer fields took 1,875 MB of memory.

Cause: libcurl keeps the fields of a trailer section for curl_easy_header and does not bound them, as it does those of a head. on_response_header dropped them, but after libcurl had kept them.

Ruled out by the same test: fields of a head, a status line and interim responses without end are cut (0.7, 1.0 and 3.9 MB sent), and bodies are streamed.

Change: the call fails once its trailer fields exceed the limit of a head.

Test: test_proxy_faults endless; 268 MB sent before, 3.9 MB now, 13.6 MB of memory in all.

--- a/proxy/upstream.c
+++ b/proxy/upstream.c
@@ -143,9 +143,15 @@
 	     bytes > 0 && (line[bytes - 1] == '\n' || line[bytes - 1] == '\r');
 	     bytes--)
 		continue;
-	/* Trailers of a chunked response are not forwarded. */
-	if (upstream->head_complete)
-		return all;
+	/*
+	 * Trailers of a chunked response are not forwarded, but libcurl keeps
+	 * them.
+	 */
+	if (upstream->head_complete) {
+		upstream->trailer_bytes += all;
+		return upstream->trailer_bytes <= BF_HEADERS_BYTES_MAX ? all
+								       : 0;
+	}
 	if (bytes >= 5 && strncmp(line, "HTTP/", 5) == 0) {
 		bf_headers_reset(&upstream->response_headers);
 		upstream->status = parse_status(line, bytes);
--- a/proxy/upstream.h
+++ b/proxy/upstream.h
@@ -32,6 +32,7 @@
 	bf_headers_t response_headers;
 	bf_framing_t framing;
 	uint64_t body_bytes;
+	uint64_t trailer_bytes;
 	bool send_paused;
 	bool receive_paused;
 	bf_outcome_t outcome;
--- a/tests/proxy_fixture.c
+++ b/tests/proxy_fixture.c
@@ -308,6 +308,23 @@
 	return send_text(c->fd, text);
 }
 
+/* Sends until the connection is closed, or ENDLESS_BYTES_MAX. */
+static bool
+send_endless(connection_t *c, const char *begin, const char *repeated)
+{
+	GString *block = g_string_new(NULL);
+
+	while (block->len < BLOCK_BYTES)
+		g_string_append(block, repeated);
+	if (send_text(c->fd, begin)) {
+		while (c->target->endless_bytes < ENDLESS_BYTES_MAX &&
+		    send_all(c->fd, block->str, block->len))
+			c->target->endless_bytes += block->len;
+	}
+	g_string_free(block, TRUE);
+	return false;
+}
+
 /* Responds as the path selects; false closes the connection. */
 static bool
 send_response(connection_t *c, const char *head, GChecksum *sum, uint64_t total)
@@ -360,6 +377,18 @@
 		    "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong",
 		    true },
 	};
+	static const struct {
+		const char *path, *begin, *repeated;
+	} endless_responses[] = {
+		{ "/endless-head", "HTTP/1.1 200 OK\r\n", "X-More: 1\r\n" },
+		{ "/endless-line", "HTTP/1.1 200 OK", "kkkkkkkkkkkkkkkkkkkk" },
+		{ "/endless-interim", "",
+		    "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" },
+		{ "/endless-trailer",
+		    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		    "0\r\n",
+		    "X-More: 1\r\n" },
+	};
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(fixed_responses); i++) {
@@ -368,6 +397,11 @@
 		return send_text(c->fd, fixed_responses[i].text) &&
 		    fixed_responses[i].keep_open;
 	}
+	for (i = 0; i < G_N_ELEMENTS(endless_responses); i++) {
+		if (strstr(head, endless_responses[i].path) != NULL)
+			return send_endless(c, endless_responses[i].begin,
+			    endless_responses[i].repeated);
+	}
 	if (strstr(head, "/refuse") != NULL)
 		return send_refusal(c, head);
 	if (strstr(head, "/close") != NULL)
--- a/tests/proxy_fixture.h
+++ b/tests/proxy_fixture.h
@@ -16,6 +16,7 @@
  */
 
 #define MESH_TARGETS 2
+#define ENDLESS_BYTES_MAX ((uint64_t)256 << 20)
 
 typedef struct fake_target {
 	int listen_fd;
@@ -27,6 +28,7 @@
 	_Atomic gint cancelled;   /* closed by the node during a call */
 	_Atomic gint in_flight;
 	_Atomic gint in_flight_max;
+	_Atomic uint64_t endless_bytes; /* sent by the endless responses */
 	/* Connections accepted in an earlier epoch never respond. */
 	_Atomic gint epoch;
 
--- a/tests/test_proxy_faults.c
+++ b/tests/test_proxy_faults.c
@@ -312,6 +312,32 @@
 	mesh_close(&mesh);
 }
 
+/* Far below the memory of an instance, above what sockets hold. */
+#define ENDLESS_SENT_MAX ((uint64_t)32 << 20)
+
+/* A response without end that is no answer is cut off before it is kept. */
+static void
+test_endless_responses(void)
+{
+	static const char *const paths[] = { "/a/endless-head",
+		"/a/endless-line", "/a/endless-interim", "/a/endless-trailer" };
+	response_t response;
+	mesh_t mesh;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		mesh_open(&mesh, &one_target);
+		mesh_call(&mesh, &(request_t){ .path = paths[i] }, &response);
+		g_test_message("%s: %ld, %" G_GUINT64_FORMAT " bytes", paths[i],
+		    response.status, mesh.targets[0]->endless_bytes);
+		g_assert_false(response.complete && response.status < 300);
+		g_assert_cmpuint(
+		    mesh.targets[0]->endless_bytes, <, ENDLESS_SENT_MAX);
+		response_clear(&response);
+		mesh_close(&mesh);
+	}
+}
+
 int
 main(int argc, char **argv)
 {
@@ -320,6 +346,7 @@
 	    "/faults/silent", test_dead_connections_fail_one_call_only);
 	g_test_add_func(
 	    "/faults/fresh", test_at_most_once_calls_use_new_connections);
+	g_test_add_func("/faults/endless", test_endless_responses);
 	g_test_add_func("/faults/trailers", test_trailers_are_not_forwarded);
 	g_test_add_func("/faults/heads", test_malformed_requests_are_refused);
 	g_test_add_func(
