basilnoded: bound the trailer fields of the store's answers

A store, or what has taken its address, could end every node that reads it.

Ruled out: bodies (ANSWER_BYTES_MAX) and heads (bounded by libcurl).

Change: a call fails as too large after 64 KiB of header and trailer fields.

Test: test_store endless-trailer.

--- a/store/consul.c
+++ b/store/consul.c
@@ -12,6 +12,7 @@
 
 /* Holds a list of large values; far more than a node stores. */
 #define ANSWER_BYTES_MAX ((size_t)16 * 1024 * 1024)
+#define FIELD_BYTES_MAX ((size_t)65536)
 
 #define HTTP_OK 200
 #define HTTP_BAD_REQUEST 400
@@ -37,6 +38,7 @@
 	bool too_large;
 	char *answer;
 	size_t answer_bytes;
+	size_t field_bytes; /* of its header and trailer fields */
 	long status;
 } consul_t;
 
@@ -76,6 +78,21 @@
 	return bytes;
 }
 
+/*
+ * Ends a call whose answer has too many header or trailer fields; libcurl keeps
+ * them all, and bounds the former only.
+ */
+static size_t
+count_fields(char *data, size_t size, size_t count, void *ctx)
+{
+	consul_t *consul = ctx;
+
+	(void)data;
+	consul->field_bytes += size * count;
+	consul->too_large |= consul->field_bytes > FIELD_BYTES_MAX;
+	return consul->too_large ? 0 : size * count;
+}
+
 /*
  * CURLOPT_PREREQFUNCTION: called when a connection is established, before the
  * first byte of a request.  A second call for the same request is a retry by
@@ -114,6 +131,8 @@
 	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, consul->headers);
 	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, append_answer);
 	curl_easy_setopt(curl, CURLOPT_WRITEDATA, consul);
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, count_fields);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, consul);
 	curl_easy_setopt(curl, CURLOPT_PREREQFUNCTION, before_request);
 	curl_easy_setopt(curl, CURLOPT_PREREQDATA, consul);
 	curl_easy_setopt(
@@ -187,6 +206,7 @@
 	free(consul->answer);
 	consul->answer = NULL;
 	consul->answer_bytes = 0;
+	consul->field_bytes = 0;
 	consul->too_large = false;
 	consul->writing = is_write(call);
 	consul->request_started = false;
--- a/tests/test_store.c
+++ b/tests/test_store.c
@@ -1,5 +1,8 @@
+#include <netinet/in.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include <apr_general.h>
 #include <glib.h>
@@ -422,6 +425,69 @@
 	gsl_rng_free(rng);
 }
 
+#define ENDLESS_BYTES_MAX ((uint64_t)256 << 20)
+/* Far below the memory of an instance, above what sockets hold. */
+#define ENDLESS_SENT_MAX ((uint64_t)32 << 20)
+
+typedef struct endless_server {
+	int listener;
+	uint64_t sent_bytes;
+} endless_server_t;
+
+/* Answers one request with a trailer section without end. */
+static gpointer
+serve_endless(gpointer data)
+{
+	static const char head[] = "HTTP/1.1 200 OK\r\n"
+				   "Transfer-Encoding: chunked\r\n\r\n"
+				   "2\r\n[]\r\n0\r\n";
+	endless_server_t *server = data;
+	char block[60000];
+	ssize_t sent;
+	size_t i;
+	int fd;
+
+	for (i = 0; i < sizeof(block); i++)
+		block[i] = "X-M: 123\r\n"[i % 10];
+	fd = accept(server->listener, NULL, NULL);
+	sent = send(fd, head, strlen(head), MSG_NOSIGNAL);
+	while (sent > 0 && server->sent_bytes < ENDLESS_BYTES_MAX) {
+		sent = send(fd, block, sizeof(block), MSG_NOSIGNAL);
+		server->sent_bytes += sent > 0 ? (uint64_t)sent : 0;
+	}
+	close(fd);
+	return NULL;
+}
+
+/* libcurl kept every trailer field of an answer, without a bound. */
+static void
+test_endless_trailer(fixture_t *f, gconstpointer data)
+{
+	struct sockaddr_in address = { .sin_family = AF_INET };
+	g_autofree char *text = NULL;
+	endless_server_t server = { 0 };
+	socklen_t bytes = sizeof(address);
+	GThread *thread;
+
+	(void)data;
+	address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	server.listener = socket(AF_INET, SOCK_STREAM, 0);
+	g_assert_cmpint(
+	    bind(server.listener, (struct sockaddr *)&address, bytes), ==, 0);
+	g_assert_cmpint(listen(server.listener, 1), ==, 0);
+	g_assert_cmpint(
+	    getsockname(server.listener, (struct sockaddr *)&address, &bytes),
+	    ==, 0);
+	text = g_strdup_printf("127.0.0.1:%u", ntohs(address.sin_port));
+	bf_store_free(f->store);
+	f->store = connect_store(text, TIMEOUT_MS);
+	thread = g_thread_new("endless", serve_endless, &server);
+	g_assert_cmpint(get(f, "a"), ==, BF_ERR_TOO_LARGE);
+	g_thread_join(thread);
+	g_assert_cmpuint(server.sent_bytes, <, ENDLESS_SENT_MAX);
+	close(server.listener);
+}
+
 static void
 add(const char *name, void (*test)(fixture_t *f, gconstpointer data))
 {
@@ -432,6 +498,7 @@
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
+	add("/store/endless-trailer", test_endless_trailer);
 	g_test_add_func("/store/options", test_options_are_checked);
 	g_test_add_func("/store/backoff", test_backoff_bounds);
 	add("/store/values", test_values_are_stored_unchanged);
