--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -27,7 +27,7 @@
 	uint64_t revision;
 	bf_http_request_t *held[HELD_MAX]; /* watches */
 	uint64_t held_after[HELD_MAX];
-	uint32_t watch_count;
+	size_t list_bytes; /* length of the next list; 0: as it comes */
 } stand_in_t;
 
 typedef struct store_case {
@@ -41,6 +41,7 @@
 	bf_kv_watcher_t watcher;
 	bf_kv_call_t calls[IDLE_MAX];
 	uint64_t seen_revision;
+	bf_code_t last_fault;
 	bool is_silent;
 	bf_time_us_t put_at_us;
 	bf_time_us_t seen_at_us; /* the change after the silence; 0: not yet */
@@ -63,7 +64,6 @@
 {
 	size_t i;
 
-	store->watch_count++;
 	request->user = store;
 	for (i = 0; i < HELD_MAX; i++) {
 		if (store->held[i] != NULL)
@@ -81,9 +81,17 @@
 {
 	stand_in_t *store = BF_CONTAINER(server, stand_in_t, server);
 	const char *target = bf_http_target(request->message), *after;
+	g_autofree char *spaces = NULL;
 	uint64_t revision;
 
 	(void)now_us;
+	if (store->list_bytes != 0) {
+		spaces = g_strnfill(store->list_bytes, ' ');
+		memcpy(spaces, "{}", 2);
+		bf_http_answer(request, 200, "", spaces, store->list_bytes);
+		store->list_bytes = 0;
+		return;
+	}
 	if (strncmp(target, "/basilfork/kv-range", 19) == 0) {
 		answer_items(request, "items", store->revision);
 		return;
@@ -147,7 +155,18 @@
 		test->seen_at_us = now_us;
 }
 
-static const bf_kv_watcher_vtable_t watcher_vtable = { .on_item = on_item };
+static void
+on_call_done(bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us)
+{
+	(void)now_us;
+	if (code != BF_OK)
+		BF_CONTAINER(watcher, store_case_t, watcher)->last_fault = code;
+}
+
+static const bf_kv_watcher_vtable_t watcher_vtable = {
+	.on_item = on_item,
+	.on_call_done = on_call_done,
+};
 
 static void
 ignore_reply(
@@ -286,10 +305,40 @@
 	bf_loop_free(loop);
 }
 
+#define LONG_ANSWER_BYTES ((size_t)40 << 20)
+
+/*
+ * An answer of the store that is far too long is not held.  Each of several
+ * calls at one time held up to 64 MiB; the smallest instance has 160 MB.
+ */
+static void
+test_long_answer(void)
+{
+	static store_case_t test;
+	clock_timer_t clock = { .timer = { .fire = on_clock } };
+	bf_time_us_t end_us;
+
+	clock.loop = bf_loop_new(NULL);
+	test.store.list_bytes = LONG_ANSWER_BYTES;
+	begin(&test, clock.loop, bf_clock_monotonic_us());
+	end_us = bf_clock_monotonic_us() + CONTACT_US;
+	while (test.seen_revision == 0 && bf_clock_monotonic_us() < end_us) {
+		bf_loop_timer_set(clock.loop, &clock.timer,
+		    bf_clock_monotonic_us() + STEP_US);
+		bf_loop_run(clock.loop);
+	}
+	/* The list that follows is read. */
+	g_assert_cmpint(test.last_fault, ==, BF_ERR_TIMEOUT);
+	g_assert_cmpuint(test.seen_revision, ==, 100);
+	end(&test);
+	bf_loop_free(clock.loop);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform-store/silent", test_silent_connections);
+	g_test_add_func("/platform-store/long-answer", test_long_answer);
 	return g_test_run();
 }
