Ignore the offer of another protocol in a request

Cause: http_parser stops at the end of such a request, and the reader took that for a fault after it had delivered the request.

Ruled out: the forwarding; Upgrade and Connection are not forwarded.

Change: the field is ignored, as RFC 9110, 7.8 allows. CONNECT, which a mesh cannot serve, is refused before it is delivered. An answer of status 101 is still a fault, as the node never offers an upgrade.

--- a/http/message.c
+++ b/http/message.c
@@ -259,8 +259,14 @@
 	if ((reader->in_value ? terminate_value(reader)
 			      : terminate_text(reader)) != 0)
 		return -1;
-	if (!names_are_tokens(message))
+	if (!names_are_tokens(message) || parser->method == HTTP_CONNECT)
 		return fail(reader, BF_HTTP_MALFORMED);
+	/*
+	 * A request's Upgrade field is ignored, as RFC 9110, 7.8 allows; the
+	 * parser would read nothing after the request.
+	 */
+	if (parser->type == HTTP_REQUEST)
+		parser->upgrade = 0;
 	reader->in_trailers = true;
 	reader->head_bytes = 0;
 	message->method = parser->method;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -168,6 +168,47 @@
 	g_string_free(text, TRUE);
 }
 
+/*
+ * A request that offers another protocol, as some clients' first one does, was
+ * answered twice: the second answer, 400, had no request.  The offer is
+ * ignored, and the requests that follow are read.
+ */
+static void
+test_upgrade_ignored(void)
+{
+	static const char text[] =
+	    "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n"
+	    "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+	    "HTTP2-Settings: AAMAAABk\r\n\r\nabc"
+	    "GET /b HTTP/1.1\r\nHost: h\r\nConnection: upgrade\r\n"
+	    "Upgrade: websocket\r\n\r\n"
+	    "GET /c HTTP/1.1\r\nHost: h\r\n\r\n";
+	static const char *const targets[] = { "/a", "/b", "/c" };
+	const bf_http_message_t *message;
+	collector_t collector;
+	size_t piece, i;
+
+	for (piece = 1; piece <= strlen(text); piece++) {
+		collector_init(&collector, true);
+		feed_in_pieces(&collector, text, piece, BF_HTTP_OK);
+		g_assert_cmpuint(collector.messages->len, ==, 3);
+		for (i = 0; i < 3; i++) {
+			message = g_ptr_array_index(collector.messages, i);
+			g_assert_cmpstr(
+			    bf_http_target(message), ==, targets[i]);
+			g_assert_true(message->keep_alive);
+			g_assert_cmpuint(
+			    bf_bytes_count(&message->body), ==, i == 0 ? 3 : 0);
+		}
+		collector_free(&collector);
+	}
+	collector_init(&collector, true);
+	feed_in_pieces(&collector, "CONNECT h:1 HTTP/1.1\r\nHost: h:1\r\n\r\n",
+	    1000, BF_HTTP_MALFORMED);
+	g_assert_cmpuint(collector.messages->len, ==, 0);
+	collector_free(&collector);
+}
+
 /* Rejects what two parsers could read differently (request smuggling). */
 static void
 test_refused_requests(void)
@@ -602,6 +643,7 @@
 	g_test_add_func("/http/requests-in-pieces", test_requests_in_pieces);
 	g_test_add_func("/http/refused-requests", test_refused_requests);
 	g_test_add_func("/http/trailers", test_trailers);
+	g_test_add_func("/http/upgrade", test_upgrade_ignored);
 	g_test_add_func("/http/endless-trailers", test_endless_trailers);
 	g_test_add_func("/http/unframed", test_body_until_close);
 	g_test_add_func("/http/one-answer", test_single_response);
