Keep a rolled-back version without calls during the next move

Cause: a node knows one version of a move; the next order replaced it, and every other version was taken for the old one. Its failures were also counted as the old version's, so that a bad next version looked no worse.

Ruled out: the outcome in the store, which the next order rightly replaces.

Change: a node keeps the versions rolled back by earlier moves of a service, from its own moves, from peers or from the store, until one is ordered again. Calls and evidence leave them out.

Test: test_mesh withdrawn-version; without the check 60 of 60 calls go to the withdrawn version, with it none.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -368,6 +368,8 @@
 		    strcmp(state->service, call->service) != 0 ||
 		    (peer->version_unconfirmed && !allow_unconfirmed) ||
 		    !version_matches(state->version, version, version_rule) ||
+		    bf_movement_is_withdrawn(
+			mesh, call->service, state->version) ||
 		    was_tried(call, peer))
 			continue;
 		candidates[count] = (bf_candidate_t){
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -288,12 +288,17 @@
 	uint64_t departed_start_ms;
 } bf_recorded_target_t;
 
+/* Targets of a version that was rolled back are gone some seconds later. */
+#define BF_WITHDRAWN_MAX 4
+
 /* A move of a service to a new version, as known to this node. */
 typedef struct bf_tracked_move {
 	bf_move_t move;
 	bool ordered; /* its order was read from the store or a peer sent it */
 
 	bf_move_record_t record;
+	/* Earlier moves' versions that were rolled back, the newest first. */
+	char withdrawn[BF_WITHDRAWN_MAX][BF_NAME_BYTES];
 	bf_time_us_t announced_at_us; /* last sent to all peers */
 
 	/*
@@ -617,6 +622,9 @@
  */
 int bf_movement_choose_version(
     bf_mesh_t *mesh, const char *service, const char **version);
+/* Whether an earlier move to that version was rolled back. */
+bool bf_movement_is_withdrawn(
+    bf_mesh_t *mesh, const char *service, const char *version);
 
 /* mesh/entry.c: calls that entered the mesh at this node. */
 bf_code_t bf_entry_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -99,6 +99,50 @@
 	}
 }
 
+static bool
+is_withdrawn(const bf_tracked_move_t *tracked, const char *version)
+{
+	size_t i;
+
+	for (i = 0; i < BF_WITHDRAWN_MAX; i++) {
+		if (tracked->withdrawn[i][0] != '\0' &&
+		    strcmp(tracked->withdrawn[i], version) == 0)
+			return true;
+	}
+	return false;
+}
+
+static void
+add_withdrawn(bf_tracked_move_t *tracked, const char *version)
+{
+	if (version[0] == '\0' || is_withdrawn(tracked, version))
+		return;
+	memmove(tracked->withdrawn[1], tracked->withdrawn[0],
+	    sizeof(tracked->withdrawn) - sizeof(tracked->withdrawn[0]));
+	(void)snprintf(tracked->withdrawn[0], sizeof(tracked->withdrawn[0]),
+	    "%s", version);
+}
+
+/*
+ * Before a newer order replaces the move: a version that was rolled back gets
+ * no calls until its targets have gone, unless it is the one ordered.
+ */
+static void
+keep_withdrawn(bf_tracked_move_t *tracked, const char *ordered_version)
+{
+	const bf_move_record_t *record = &tracked->record;
+	size_t i;
+
+	if (tracked->move.state == BF_MOVE_ROLLED_BACK)
+		add_withdrawn(tracked, tracked->move.version);
+	if (record->is_known && record->stored.state == BF_MOVE_ROLLED_BACK)
+		add_withdrawn(tracked, record->stored.version);
+	for (i = 0; i < BF_WITHDRAWN_MAX; i++) {
+		if (strcmp(tracked->withdrawn[i], ordered_version) == 0)
+			tracked->withdrawn[i][0] = '\0';
+	}
+}
+
 /* Takes over a final state from the store and sends it to all nodes. */
 static void
 settle(bf_tracked_move_t *tracked, bf_time_us_t now_us)
@@ -367,6 +411,7 @@
 	tracked = find_or_add_move(mesh, order.service);
 	if (tracked == NULL || item->revision <= tracked->move.order_revision)
 		return;
+	keep_withdrawn(tracked, order.version);
 	bf_move_begin(&tracked->move, &order, item->revision, now_us);
 	tracked->ordered = true;
 	tracked->record.order_deleted = false;
@@ -425,6 +470,8 @@
 	    differs ? now_us : tracked->move.share_set_at_us;
 	(void)snprintf(received.reason, sizeof(received.reason),
 	    "received from %s", peer->instance);
+	if (newer)
+		keep_withdrawn(tracked, received.version);
 	tracked->move = received;
 	tracked->ordered = true;
 	if (newer)
@@ -459,7 +506,8 @@
 		return;
 	}
 	if (strcmp(state->service, move->service) != 0 ||
-	    state->target_state == BF_TARGET_ABSENT)
+	    state->target_state == BF_TARGET_ABSENT ||
+	    is_withdrawn(tracked, state->version))
 		return;
 	is_new = strcmp(state->version, move->version) == 0;
 	if (strcmp(peer->runs_base_version, move->version) != 0) {
@@ -814,3 +862,12 @@
 		    : -1;
 	}
 }
+
+bool
+bf_movement_is_withdrawn(
+    bf_mesh_t *mesh, const char *service, const char *version)
+{
+	const bf_tracked_move_t *tracked = find_move(mesh, service);
+
+	return tracked != NULL && is_withdrawn(tracked, version);
+}
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1413,6 +1413,52 @@
 	fixture_free(fixture);
 }
 
+/*
+ * The next order after a roll-back let calls go to the version that had been
+ * rolled back until its targets had gone, and held their failures against the
+ * old version.  Ordered again, the version gets calls again.
+ */
+static void
+test_withdrawn_version(void)
+{
+	mesh_fixture_t *fixture = new_configured(3);
+	test_call_t call;
+	uint32_t i, node;
+	char id[24];
+
+	fixture->targets[2].start_ms = 9000;
+	(void)snprintf(
+	    fixture->targets[2].id, sizeof(fixture->targets[2].id), "new");
+	fixture_put(fixture, "ops/move/shop", "shop v2 60000");
+	g_assert_cmpint(fixture_heartbeat(fixture, 2, "v2", false), ==, BF_OK);
+	fixture_run(fixture, BF_US_PER_S);
+	fixture_put(fixture, "out/shop", "shop v2 2");
+	fixture_run(fixture, BF_US_PER_S);
+	fixture->targets[2].run_count = 0;
+	fixture_put(fixture, "ops/move/shop", "shop v3 60000");
+	fixture_run(fixture, BF_US_PER_S);
+	for (i = 0; i < 60; i++) {
+		(void)snprintf(id, sizeof(id), "w%u", i);
+		fixture_send(fixture, &call, 2, "GET", "/read/x", id, 800, 0);
+		g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+		bf_http_client_reset(&call.client);
+		g_assert_cmpuint(call.status, ==, 200);
+	}
+	g_assert_cmpuint(fixture->targets[2].run_count, ==, 0);
+	for (node = 0; node < 3; node++) {
+		g_assert_true(bf_movement_is_withdrawn(
+		    fixture->nodes[node], "shop", "v2"));
+		g_assert_false(bf_movement_is_withdrawn(
+		    fixture->nodes[node], "shop", "v3"));
+	}
+	fixture_put(fixture, "ops/move/shop", "shop v2 60000");
+	fixture_run(fixture, BF_US_PER_S);
+	for (node = 0; node < 3; node++)
+		g_assert_false(bf_movement_is_withdrawn(
+		    fixture->nodes[node], "shop", "v2"));
+	fixture_free(fixture);
+}
+
 /* A move to a good version is completed on all nodes. */
 static void
 test_good_move(void)
@@ -2032,6 +2078,7 @@
 	g_test_add_func("/mesh/unproven-version", test_unproven_version);
 	g_test_add_func("/mesh/first-outcome", test_first_outcome_holds);
 	g_test_add_func("/mesh/other-part", test_outcome_of_other_part);
+	g_test_add_func("/mesh/withdrawn-version", test_withdrawn_version);
 	g_test_add_func("/mesh/good-move", test_good_move);
 	g_test_add_func("/mesh/bad-move", test_bad_move);
 	g_test_add_func("/mesh/load-reports", test_load_reports);
