Use a withdrawn version where no other is left

Ruled out: withdrawing settled roll-backs only; a settled one may have been followed by an order that the node missed.

Change: the filter of versions is a structure now; a call that no other version can take, and that was offered to nobody yet, may go to a withdrawn one.

Test: test_mesh withdrawn-version, which also lets all other targets leave.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -313,12 +313,23 @@
 	return false;
 }
 
+/* Which versions a call may go to. */
+typedef struct version_filter {
+	const char *version; /* with rule as of bf_movement_choose_version */
+	int rule;
+	bool allow_unconfirmed;
+	bool allow_withdrawn;
+} version_filter_t;
+
 static bool
-version_matches(const char *version, const char *wanted, int version_rule)
+version_matches(
+    bf_entry_call_t *call, const char *version, const version_filter_t *filter)
 {
-	if (version_rule == 0)
-		return true;
-	return (strcmp(version, wanted) == 0) == (version_rule > 0);
+	if (filter->rule != 0 &&
+	    (strcmp(version, filter->version) == 0) != (filter->rule > 0))
+		return false;
+	return filter->allow_withdrawn ||
+	    !bf_movement_is_withdrawn(call->mesh, call->service, version);
 }
 
 /*
@@ -338,14 +349,10 @@
 	return (uint32_t)(recent_us > min_us ? recent_us : min_us);
 }
 
-/*
- * Lists the nodes that the call may be offered to.  version and version_rule
- * are those of bf_movement_choose_version.
- */
+/* Lists the nodes that the call may be offered to. */
 static size_t
-list_candidates(bf_entry_call_t *call, const char *version, int version_rule,
-    bool allow_unconfirmed, bf_candidate_t *candidates, bf_peer_t **peers,
-    bf_time_us_t now_us)
+list_candidates(bf_entry_call_t *call, const version_filter_t *filter,
+    bf_candidate_t *candidates, bf_peer_t **peers, bf_time_us_t now_us)
 {
 	bf_mesh_t *mesh = call->mesh;
 	const bf_node_state_t *state;
@@ -366,10 +373,8 @@
 		    state->target_state != BF_TARGET_READY ||
 		    state->load.slots == 0 ||
 		    strcmp(state->service, call->service) != 0 ||
-		    (peer->version_unconfirmed && !allow_unconfirmed) ||
-		    !version_matches(state->version, version, version_rule) ||
-		    bf_movement_is_withdrawn(
-			mesh, call->service, state->version) ||
+		    (peer->version_unconfirmed && !filter->allow_unconfirmed) ||
+		    !version_matches(call, state->version, filter) ||
 		    was_tried(call, peer))
 			continue;
 		candidates[count] = (bf_candidate_t){
@@ -392,26 +397,40 @@
 /*
  * Lists the nodes with the version that a move assigns the call to, or else
  * those with other versions, but never with a version that was rolled back.
- * Without a move, unconfirmed versions are the last resort.
+ * Without a move, unconfirmed versions are the last resort.  A version that an
+ * earlier move rolled back is one where no other is left: this node may have
+ * missed that it was ordered again.
  */
 static size_t
 find_candidates(bf_entry_call_t *call, bf_candidate_t *candidates,
     bf_peer_t **peers, bf_time_us_t now_us)
 {
-	const char *version = "";
+	version_filter_t filter = {
+		.allow_withdrawn =
+		    !bf_movement_has_withdrawn(call->mesh, call->service),
+	};
+	int rule;
 	size_t count;
-	int version_rule;
-
-	version_rule =
-	    bf_movement_choose_version(call->mesh, call->service, &version);
-	count = list_candidates(
-	    call, version, version_rule, false, candidates, peers, now_us);
-	if (count == 0 && version_rule > 0)
-		count = list_candidates(call, version, -version_rule, false,
-		    candidates, peers, now_us);
-	if (count == 0 && version_rule == 0)
-		count = list_candidates(call, version, version_rule, true,
-		    candidates, peers, now_us);
+
+	rule = bf_movement_choose_version(
+	    call->mesh, call->service, &filter.version);
+	filter.rule = rule;
+	count = list_candidates(call, &filter, candidates, peers, now_us);
+	if (count == 0 && rule > 0) {
+		filter.rule = -rule;
+		count =
+		    list_candidates(call, &filter, candidates, peers, now_us);
+	}
+	if (count == 0 && rule == 0) {
+		filter.allow_unconfirmed = true;
+		count =
+		    list_candidates(call, &filter, candidates, peers, now_us);
+	}
+	if (count == 0 && !filter.allow_withdrawn && call->offers == 0) {
+		filter.allow_withdrawn = true;
+		count =
+		    list_candidates(call, &filter, candidates, peers, now_us);
+	}
 	return count;
 }
 
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -622,7 +622,9 @@
  */
 int bf_movement_choose_version(
     bf_mesh_t *mesh, const char *service, const char **version);
-/* Whether an earlier move to that version was rolled back. */
+/* Whether earlier moves of the service, or to that version, were rolled back.
+ */
+bool bf_movement_has_withdrawn(bf_mesh_t *mesh, const char *service);
 bool bf_movement_is_withdrawn(
     bf_mesh_t *mesh, const char *service, const char *version);
 
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -863,6 +863,19 @@
 	}
 }
 
+bool
+bf_movement_has_withdrawn(bf_mesh_t *mesh, const char *service)
+{
+	const bf_tracked_move_t *tracked = find_move(mesh, service);
+	size_t i;
+
+	for (i = 0; tracked != NULL && i < BF_WITHDRAWN_MAX; i++) {
+		if (tracked->withdrawn[i][0] != '\0')
+			return true;
+	}
+	return false;
+}
+
 bool
 bf_movement_is_withdrawn(
     bf_mesh_t *mesh, const char *service, const char *version)
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1416,7 +1416,8 @@
 /*
  * The next order after a roll-back let calls go to the version that had been
  * rolled back until its targets had gone, and held their failures against the
- * old version.  Ordered again, the version gets calls again.
+ * old version.  It gets calls again if no other version is left, or if it is
+ * ordered again.
  */
 static void
 test_withdrawn_version(void)
@@ -1451,6 +1452,12 @@
 		g_assert_false(bf_movement_is_withdrawn(
 		    fixture->nodes[node], "shop", "v3"));
 	}
+	/* Where no other version is left, it is used. */
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	call = send_and_await(fixture, "GET", "/read/x", "only");
+	g_assert_cmpuint(call.status, ==, 200);
 	fixture_put(fixture, "ops/move/shop", "shop v2 60000");
 	fixture_run(fixture, BF_US_PER_S);
 	for (node = 0; node < 3; node++)
