--- a/http/message.c
+++ b/http/message.c
@@ -161,25 +161,23 @@
 					    : 0;
 }
 
+/*
+ * Ends the part of the head that was read last.  Space behind a field's value
+ * is not part of it (RFC 9110, 5.5).
+ */
 static int
-terminate_text(bf_http_reader_t *reader)
-{
-	return add_text(reader, "", 1);
-}
-
-/* Space around a value is not part of it (RFC 9110, 5.5). */
-static int
-terminate_value(bf_http_reader_t *reader)
+terminate_part(bf_http_reader_t *reader)
 {
 	bf_http_message_t *message = reader->message;
-	size_t begin = message->fields[message->field_count - 1].value;
 	const char *text = (const char *)bf_bytes_data(&message->text);
-	size_t end = bf_bytes_count(&message->text);
+	size_t end = bf_bytes_count(&message->text), begin = end;
 
+	if (reader->in_value)
+		begin = message->fields[message->field_count - 1].value;
 	while (end > begin && (text[end - 1] == ' ' || text[end - 1] == '\t'))
 		end--;
 	bf_bytes_truncate(&message->text, end);
-	return terminate_text(reader);
+	return add_text(reader, "", 1);
 }
 
 static int
@@ -199,8 +197,7 @@
 	if (message->field_count == 0 || reader->in_value) {
 		if (message->field_count == BF_HTTP_FIELDS_MAX)
 			return fail(reader, BF_HTTP_HEAD_TOO_LARGE);
-		if ((reader->in_value ? terminate_value(reader)
-				      : terminate_text(reader)) != 0)
+		if (terminate_part(reader) != 0)
 			return -1;
 		message->fields[message->field_count++].name =
 		    (uint32_t)bf_bytes_count(&message->text);
@@ -218,7 +215,7 @@
 	if (reader->in_trailers)
 		return count_text(reader, bytes);
 	if (!reader->in_value) {
-		if (terminate_text(reader) != 0)
+		if (terminate_part(reader) != 0)
 			return -1;
 		message->fields[message->field_count - 1].value =
 		    (uint32_t)bf_bytes_count(&message->text);
@@ -256,8 +253,7 @@
 	bf_http_reader_t *reader = reader_of(parser);
 	bf_http_message_t *message = reader->message;
 
-	if ((reader->in_value ? terminate_value(reader)
-			      : terminate_text(reader)) != 0)
+	if (terminate_part(reader) != 0)
 		return -1;
 	if (!names_are_tokens(message) || parser->method == HTTP_CONNECT)
 		return fail(reader, BF_HTTP_MALFORMED);
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -600,6 +600,7 @@
 			tracked->record.is_known = false;
 		} else {
 			bf_movement_apply_outcome(tracked->mesh, item, now_us);
+			/* One that cannot be decoded is replaced. */
 			bf_move_record_read(
 			    &tracked->record, NULL, item->revision);
 		}
--- a/tests/e2e_store.c
+++ b/tests/e2e_store.c
@@ -282,7 +282,7 @@
 
 #define STORE_LINK_PORT 21086
 /* Operators' bound for a change to be in force everywhere. */
-#define IN_FORCE_US (4 * G_USEC_PER_SEC)
+#define IN_FORCE_US ((gint64)4 * G_USEC_PER_SEC)
 
 /*
  * Open connections to the store fall silent while all relays wait in their
--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -87,7 +87,8 @@
 	(void)now_us;
 	if (store->list_bytes != 0) {
 		spaces = g_strnfill(store->list_bytes, ' ');
-		memcpy(spaces, "{}", 2);
+		spaces[0] = '{';
+		spaces[1] = '}';
 		bf_http_answer(request, 200, "", spaces, store->list_bytes);
 		store->list_bytes = 0;
 		return;
