--- a/tests/test_move_record.c
+++ b/tests/test_move_record.c
@@ -50,6 +50,7 @@
 
 typedef struct search {
 	uint32_t leader_count;
+	uint32_t follower_count; /* the last ones: these only hear of others */
 	bf_move_state_t decisions[LEADERS_MAX];
 	GHashTable *seen;
 	GQueue queue;
@@ -166,18 +167,21 @@
 events_of(search_t *search, const world_t *world, uint32_t index)
 {
 	const leader_t *leader = &world->leaders[index];
+	bool leads = index + search->follower_count < search->leader_count;
 	uint32_t count = 0, i;
 	leader_t *changed;
 	world_t next;
 
 #define EVENT() (next = *world, changed = &next.leaders[index], count++)
-	if (leader->move.state == BF_MOVE_ACTIVE && !leader->has_decided) {
+	if (leads && leader->move.state == BF_MOVE_ACTIVE &&
+	    !leader->has_decided) {
 		EVENT();
 		changed->has_decided = true;
 		changed->move.state = search->decisions[index];
 		visit(search, &next);
 	}
-	if (bf_move_record_needs_write(&leader->record, &leader->move)) {
+	if (leads &&
+	    bf_move_record_needs_write(&leader->record, &leader->move)) {
 		EVENT();
 		send_write(changed);
 		visit(search, &next);
@@ -323,6 +327,17 @@
 	explore(&search, 0, 0, 0);
 }
 
+/* A node that neither decides nor writes ends up with the stored outcome. */
+static void
+test_follower(void)
+{
+	search_t search = { .leader_count = 3,
+		.follower_count = 1,
+		.decisions = { BF_MOVE_COMPLETED, BF_MOVE_ROLLED_BACK } };
+
+	explore(&search, 0, 0, 0);
+}
+
 /* The entry of an earlier order, or one that cannot be decoded, is replaced. */
 static void
 test_foreign_entries(void)
@@ -355,6 +370,7 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/move-record/every-order", test_every_order);
 	g_test_add_func("/move-record/three-leaders", test_three_leaders);
+	g_test_add_func("/move-record/follower", test_follower);
 	g_test_add_func("/move-record/foreign-entries", test_foreign_entries);
 	return g_test_run();
 }
