Read accounts, cold targets, allowed regions and zones

Ruled out: a list of zones without an upper bound; the reader of settings refused it and no process started.

--- a/base/clock.c
+++ b/base/clock.c
@@ -19,6 +19,12 @@
 	return read_clock_us(CLOCK_MONOTONIC);
 }
 
+bf_time_us_t
+bf_clock_boottime_us(void)
+{
+	return read_clock_us(CLOCK_BOOTTIME);
+}
+
 bf_time_us_t
 bf_clock_wall_us(void)
 {
--- a/base/clock.h
+++ b/base/clock.h
@@ -4,7 +4,7 @@
 #include <stdint.h>
 
 /*
- * The two clocks.  Only programs and their event loops read them; functions
+ * The three clocks.  Only programs and their event loops read them; functions
  * that make decisions take the current time as an argument.
  */
 
@@ -17,6 +17,13 @@
 /* Monotonic time since boot, in microseconds: for timeouts and durations. */
 bf_time_us_t bf_clock_monotonic_us(void);
 
+/*
+ * Time since boot that also counts the time for which the machine or its
+ * processes were suspended, in microseconds: for knowledge that grows old, and
+ * for leases that others may have given on meanwhile.
+ */
+bf_time_us_t bf_clock_boottime_us(void);
+
 /* Time since 1970 in UTC, in microseconds: for deadlines that operators set. */
 bf_time_us_t bf_clock_wall_us(void);
 
--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -225,6 +225,17 @@
 		.connections_max = s->callers.connections_max,
 		.link_mbps = s->node.link_mbps,
 		.first_start = s->node.first_start,
+		.zones = s->node.zones,
+		.zone_count = s->node.zone_count,
+		.memory_mb = s->node.memory_mb,
+		.fail_closed = s->accounts.fail_closed,
+		.revoke_ms = s->accounts.revoke_ms,
+		.cap_window_ms = s->usage_caps.window_ms,
+		.cap_over_ppm = s->usage_caps.over_ppm,
+		.cap_slack = s->usage_caps.slack,
+		.cold_over_ppm = s->cold_targets.over_ppm,
+		.cold_slack = s->cold_targets.slack,
+		.evacuate_ms = s->evacuation.within_ms,
 	};
 
 	meshd->loop = bf_loop_new(err);
--- a/mesh/dialect.h
+++ b/mesh/dialect.h
@@ -19,13 +19,18 @@
 	const char *not_run;         /* the target did not run the call */
 	const char *target_load;     /* running and waiting calls, slots */
 	const char *target_id;       /* of the target, in its health response */
+	const char *warm_up_ms;      /* how long it stays cold, there as well */
+	const char *account;         /* name of the caller's account */
+	const char *authorization;   /* of the caller: scheme and key */
+	const char *authorization_scheme;
 
 	/* Keys of the store. */
 	const char *operator_prefix; /* of all keys that operators write */
 	const char *config_key;
-	const char *order_prefix;   /* of moves; followed by the service */
-	const char *outcome_prefix; /* of moves; followed by the service */
-	const char *member_prefix;  /* of the entries of nodes */
+	const char *order_prefix;      /* of moves; followed by the service */
+	const char *outcome_prefix;    /* of moves; followed by the service */
+	const char *member_prefix;     /* of the entries of nodes */
+	const char *evacuation_prefix; /* followed by an availability zone */
 
 	/* Decoders; they fail for an incomplete or invalid value. */
 	/*
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -40,6 +40,18 @@
 	uint32_t connections_max; /* of callers */
 	uint32_t link_mbps;       /* bandwidth of the instance; 0: not known */
 	bool first_start;         /* the whole mesh starts for the first time */
+	/* The options below are those of basilmeshd.toml(5). */
+	const char *const *zones; /* all zones of the mesh, as "ZONE=REGION" */
+	size_t zone_count;
+	uint32_t memory_mb; /* of the instance; 0: not known */
+	bool fail_closed;
+	uint32_t revoke_ms;
+	uint32_t cap_window_ms; /* 0: usage caps are not enforced */
+	uint32_t cap_over_ppm;
+	uint32_t cap_slack;
+	uint32_t cold_over_ppm;
+	uint32_t cold_slack;
+	uint32_t evacuate_ms;
 } bf_mesh_options_t;
 
 /* A heartbeat of the target beside this node. */
--- a/mesh/routing.c
+++ b/mesh/routing.c
@@ -20,10 +20,11 @@
 	uint32_t references;
 	uint64_t version;
 	bf_caller_limits_t limits;
-	apr_array_header_t *routes;   /* bf_mesh_route_t */
-	apr_array_header_t *services; /* bf_mesh_service_t */
-	apr_hash_t *by_key;           /* "host/prefix/" -> bf_mesh_route_t */
-	apr_hash_t *by_source;        /* bf_digest_t -> bf_mesh_route_t */
+	const bf_account_directory_t *accounts; /* NULL: none */
+	apr_array_header_t *routes;             /* bf_mesh_route_t */
+	apr_array_header_t *services;           /* bf_mesh_service_t */
+	apr_hash_t *by_key;    /* "host/prefix/" -> bf_mesh_route_t */
+	apr_hash_t *by_source; /* bf_digest_t -> bf_mesh_route_t */
 };
 
 bf_routing_t *
@@ -78,6 +79,36 @@
 	APR_ARRAY_PUSH(routing->routes, bf_mesh_route_t) = *route;
 }
 
+void
+bf_routing_set_accounts(
+    bf_routing_t *routing, const bf_account_directory_t *accounts)
+{
+	routing->accounts = accounts;
+}
+
+const bf_account_directory_t *
+bf_routing_accounts(const bf_routing_t *routing)
+{
+	return routing->accounts;
+}
+
+/* Copies a NULL-terminated list into the routing's pool. */
+static const char *const *
+copy_list(bf_routing_t *routing, const char *const *list)
+{
+	size_t count = 0, i;
+	const char **copy;
+
+	if (list == NULL)
+		return NULL;
+	while (list[count] != NULL)
+		count++;
+	copy = apr_pcalloc(routing->pool, (count + 1) * sizeof(*copy));
+	for (i = 0; i < count; i++)
+		copy[i] = apr_pstrdup(routing->pool, list[i]);
+	return copy;
+}
+
 void
 bf_routing_copy_route(
     bf_routing_t *routing, const bf_mesh_route_t *route, const char *host)
@@ -88,6 +119,7 @@
 	copy.host = host;
 	copy.name = apr_pstrdup(routing->pool, route->name);
 	copy.prefix = apr_pstrdup(routing->pool, route->prefix);
+	copy.regions = copy_list(routing, route->regions);
 	for (i = 0; i < copy.backend_count; i++) {
 		copy.backends[i].service =
 		    apr_pstrdup(routing->pool, route->backends[i].service);
--- a/mesh/routing.h
+++ b/mesh/routing.h
@@ -7,6 +7,7 @@
 
 #include <apr_pools.h>
 
+#include "accounts/directory.h"
 #include "base/digest.h"
 #include "base/error.h"
 
@@ -42,6 +43,9 @@
 	uint32_t attempts_max; /* targets that a call may be sent to */
 	bf_route_backend_t backends[BF_ROUTE_BACKENDS_MAX];
 	uint32_t backend_count;
+	bool is_public; /* callers need no key, if there are accounts */
+	/* Where its calls may run, NULL-terminated; NULL: anywhere. */
+	const char *const *regions;
 	bf_digest_t source; /* of the text it was decoded from; 0: unknown */
 } bf_mesh_route_t;
 
@@ -49,6 +53,9 @@
 	const char *name;
 	const char *health_path;
 	uint32_t connections_max; /* to one target, from all callers together */
+	uint32_t warm_up_ms;      /* a target is cold for so long; 0: unknown */
+	/* Calls that a cold target takes in a second; 0: no limit. */
+	double cold_calls_per_s;
 } bf_mesh_service_t;
 
 /* Limits of callers' requests and connections. */
@@ -75,6 +82,9 @@
 void bf_routing_add_route(bf_routing_t *routing, const bf_mesh_route_t *route);
 void bf_routing_set_limits(
     bf_routing_t *routing, const bf_caller_limits_t *limits);
+/* accounts is allocated in bf_routing_pool. */
+void bf_routing_set_accounts(
+    bf_routing_t *routing, const bf_account_directory_t *accounts);
 /* Adds a copy of a route of another configuration, for this host. */
 void bf_routing_copy_route(
     bf_routing_t *routing, const bf_mesh_route_t *route, const char *host);
@@ -95,6 +105,8 @@
 
 uint64_t bf_routing_version(const bf_routing_t *routing);
 const bf_caller_limits_t *bf_routing_limits(const bf_routing_t *routing);
+/* NULL if the configuration defines no accounts: callers need no key. */
+const bf_account_directory_t *bf_routing_accounts(const bf_routing_t *routing);
 size_t bf_routing_route_count(const bf_routing_t *routing);
 const bf_mesh_service_t *bf_routing_service(
     const bf_routing_t *routing, const char *name);
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -5,11 +5,13 @@
 #include "toml/fields.h"
 
 #define MINUTE_MS 60000
+#define ZONES_MAX 256
 #define HEARTBEAT_MS_DEFAULT 1500
 #define COUNT_MAX 1000000
 #define SHARE_MAX 10.0
 #define MBPS_MAX 1000000.0
 #define PPM_PER_UNIT 1000000.0
+#define MEMORY_MB_MAX 4194304.0
 #define DURATION_S_MAX 86400.0
 #define MS_PER_S 1000.0
 
@@ -23,6 +25,14 @@
 	return text[0] != '\0' && strlen(text) < 64;
 }
 
+static bool
+zone_valid(const char *text)
+{
+	const char *equals = strchr(text, '=');
+
+	return equals != NULL && equals != text && strlen(text) < 128;
+}
+
 #define REQUIRED(name, at, check, what)                                \
 	{                                                              \
 		.key = (name), .kind = BF_FIELD_TEXT, .offset = (at),  \
@@ -47,6 +57,14 @@
 	{ .key = "first_start",
 	    .kind = BF_FIELD_BOOL,
 	    .offset = FIELD(node.first_start) },
+	{ .key = "zones",
+	    .kind = BF_FIELD_TEXT_LIST,
+	    .offset = FIELD(node.zones),
+	    .count_offset = FIELD(node.zone_count),
+	    .max = ZONES_MAX,
+	    .valid = zone_valid,
+	    .expected = "ZONE=REGION" },
+	{ .key = "memory_mb", .kind = BF_FIELD_CUSTOM }, /* read_scaled() */
 };
 
 static const bf_field_t caller_fields[] = {
@@ -84,6 +102,29 @@
 	{ .key = "window_s", .kind = BF_FIELD_CUSTOM }, /* see read_scaled() */
 };
 
+/* The numbers of the next four sections are read by read_scaled(). */
+static const bf_field_t account_fields[] = {
+	{ .key = "fail_closed",
+	    .kind = BF_FIELD_BOOL,
+	    .offset = FIELD(accounts.fail_closed) },
+	{ .key = "revoke_ms", .kind = BF_FIELD_CUSTOM },
+};
+
+static const bf_field_t usage_cap_fields[] = {
+	{ .key = "window_s", .kind = BF_FIELD_CUSTOM },
+	{ .key = "over", .kind = BF_FIELD_CUSTOM },
+	{ .key = "slack", .kind = BF_FIELD_CUSTOM },
+};
+
+static const bf_field_t cold_target_fields[] = {
+	{ .key = "over", .kind = BF_FIELD_CUSTOM },
+	{ .key = "slack", .kind = BF_FIELD_CUSTOM },
+};
+
+static const bf_field_t evacuation_fields[] = {
+	{ .key = "within_ms", .kind = BF_FIELD_CUSTOM },
+};
+
 static const bf_field_t metric_fields[] = {
 	{ .key = "listen",
 	    .kind = BF_FIELD_TEXT,
@@ -109,6 +150,11 @@
 	{ "platform", platform_fields, COUNT(platform_fields), true },
 	{ "stop", stop_fields, COUNT(stop_fields), false },
 	{ "repeats", repeat_fields, COUNT(repeat_fields), false },
+	{ "accounts", account_fields, COUNT(account_fields), false },
+	{ "usage_caps", usage_cap_fields, COUNT(usage_cap_fields), false },
+	{ "cold_targets", cold_target_fields, COUNT(cold_target_fields),
+	    false },
+	{ "evacuation", evacuation_fields, COUNT(evacuation_fields), false },
 	{ "metrics", metric_fields, COUNT(metric_fields), false },
 	{ "log", log_fields, COUNT(log_fields), false },
 };
@@ -159,6 +205,8 @@
 		.repeats = { .share_ppm = 100000,
 		    .burst = 10,
 		    .window_ms = 10000 },
+		.accounts = { .revoke_ms = 5000 },
+		.cold_targets = { .over_ppm = 1000000 },
 		.log = { .sample_one_in = 200 },
 	};
 	code = bf_toml_parse_file(path, pool, &root, diagnostics);
@@ -196,5 +244,21 @@
 	    &settings->node.link_mbps, diagnostics);
 	read_scaled(root, "stop", "grace_s", DURATION_S_MAX, MS_PER_S,
 	    &settings->stop.grace_ms, diagnostics);
+	read_scaled(root, "node", "memory_mb", MEMORY_MB_MAX, 1,
+	    &settings->node.memory_mb, diagnostics);
+	read_scaled(root, "accounts", "revoke_ms", DURATION_S_MAX * MS_PER_S, 1,
+	    &settings->accounts.revoke_ms, diagnostics);
+	read_scaled(root, "usage_caps", "window_s", DURATION_S_MAX, MS_PER_S,
+	    &settings->usage_caps.window_ms, diagnostics);
+	read_scaled(root, "usage_caps", "over", SHARE_MAX, PPM_PER_UNIT,
+	    &settings->usage_caps.over_ppm, diagnostics);
+	read_scaled(root, "usage_caps", "slack", COUNT_MAX, 1,
+	    &settings->usage_caps.slack, diagnostics);
+	read_scaled(root, "cold_targets", "over", SHARE_MAX, PPM_PER_UNIT,
+	    &settings->cold_targets.over_ppm, diagnostics);
+	read_scaled(root, "cold_targets", "slack", COUNT_MAX, 1,
+	    &settings->cold_targets.slack, diagnostics);
+	read_scaled(root, "evacuation", "within_ms", DURATION_S_MAX * MS_PER_S,
+	    1, &settings->evacuation.within_ms, diagnostics);
 	return bf_diagnostics_code(diagnostics);
 }
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -18,6 +18,10 @@
 		const char *service;
 		uint32_t link_mbps; /* bandwidth; 0: unknown */
 		bool first_start; /* the whole mesh starts for the first time */
+		/* All availability zones of the mesh, as "ZONE=REGION". */
+		const char *const *zones;
+		size_t zone_count;
+		uint32_t memory_mb; /* of the instance; 0: unknown */
 	} node;
 	struct {
 		const char *listen;
@@ -44,6 +48,23 @@
 		uint32_t burst;     /* retries allowed beyond the share */
 		uint32_t window_ms; /* interval to which both apply */
 	} repeats;
+	struct {
+		/* Whether keys whose withdrawal may be unknown are refused. */
+		bool fail_closed;
+		uint32_t revoke_ms; /* a withdrawn key is refused after it */
+	} accounts;
+	struct {
+		uint32_t window_ms; /* 0: caps are not enforced */
+		uint32_t over_ppm;  /* tolerated share beyond the cap */
+		uint32_t slack;     /* calls tolerated beyond that share */
+	} usage_caps;
+	struct {
+		uint32_t over_ppm; /* calls a second, of those stated */
+		uint32_t slack;    /* calls tolerated beyond that */
+	} cold_targets;
+	struct {
+		uint32_t within_ms; /* time to empty a zone; 0: unknown */
+	} evacuation;
 	struct {
 		const char *listen; /* NULL: not served */
 	} metrics;
--- a/tests/test_meshd_settings.c
+++ b/tests/test_meshd_settings.c
@@ -69,6 +69,15 @@
 	{ "[repeats]\n", "share", FIELD(repeats.share_ppm), 1000000, 0 },
 	{ "[repeats]\n", "burst", FIELD(repeats.burst), 1, 0 },
 	{ "[repeats]\n", "window_s", FIELD(repeats.window_ms), 1000, 0 },
+	{ NODE, "memory_mb", FIELD(node.memory_mb), 1, 0 },
+	{ "[accounts]\n", "revoke_ms", FIELD(accounts.revoke_ms), 1, 0 },
+	{ "[usage_caps]\n", "window_s", FIELD(usage_caps.window_ms), 1000, 0 },
+	{ "[usage_caps]\n", "over", FIELD(usage_caps.over_ppm), 1000000, 0 },
+	{ "[usage_caps]\n", "slack", FIELD(usage_caps.slack), 1, 0 },
+	{ "[cold_targets]\n", "over", FIELD(cold_targets.over_ppm), 1000000,
+	    0 },
+	{ "[cold_targets]\n", "slack", FIELD(cold_targets.slack), 1, 0 },
+	{ "[evacuation]\n", "within_ms", FIELD(evacuation.within_ms), 1, 0 },
 };
 
 static bf_code_t
@@ -147,6 +156,29 @@
 	g_assert_cmpuint(settings.repeats.burst, ==, 10);
 }
 
+/* A process that refuses the list of zones does not start either. */
+static void
+check_zones(void)
+{
+	bf_meshd_settings_t settings;
+
+	g_assert_cmpint(
+	    load(NODE
+		"zones = [ \"a=north\", \"b=\" ]\n" TARGET REQUIRED_SECTIONS,
+		&settings),
+	    ==, BF_OK);
+	g_assert_cmpuint(settings.node.zone_count, ==, 2);
+	g_assert_cmpstr(settings.node.zones[0], ==, "a=north");
+	g_assert_cmpint(
+	    load(NODE "zones = [ ]\n" TARGET REQUIRED_SECTIONS, &settings), ==,
+	    BF_OK);
+	g_assert_cmpuint(settings.node.zone_count, ==, 0);
+	g_assert_cmpint(
+	    load(
+		NODE "zones = [ \"a\" ]\n" TARGET REQUIRED_SECTIONS, &settings),
+	    !=, BF_OK);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -158,6 +190,7 @@
 	g_test_add_func("/meshd-settings/forms", test_figures_of_every_form);
 	g_test_add_func("/meshd-settings/no-figures", test_no_figures);
 	g_test_add_func("/meshd-settings/absent", test_absent_figures);
+	g_test_add_func("/meshd-settings/zones", check_zones);
 	status = g_test_run();
 	apr_pool_destroy(pool);
 	apr_terminate();
