Survive a store that is restored from an old copy

Cause: the store may come back from a copy some seconds old and give its revisions out again. Watchers waited for revisions beyond those that it had, a lost lease went unnoticed until the next renewal or list, a move's order with another revision began the move anew, an earlier one undid it, and outcomes that were written once stayed lost.

Ruled out: an era beside each revision in every structure; a restart of the process.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -11,6 +11,7 @@
 #include "mesh/call_queue.h"
 #include "mesh/link.h"
 #include "mesh/mesh.h"
+#include "mesh/move_history.h"
 #include "mesh/move_record.h"
 #include "mesh/retry_budget.h"
 #include "mesh/store_pace.h"
@@ -297,6 +298,7 @@
 	bool ordered; /* its order was read from the store or a peer sent it */
 
 	bf_move_record_t record;
+	bf_move_history_t history; /* orders that were seen */
 	/* Earlier moves' versions that were rolled back, the newest first. */
 	char withdrawn[BF_WITHDRAWN_MAX][BF_NAME_BYTES];
 	bf_time_us_t announced_at_us; /* last sent to all peers */
@@ -448,6 +450,8 @@
 	uint32_t stale_lists; /* consecutive, see bf_store_pace_t */
 	uint64_t store_call_counts[BF_STORE_PURPOSES];
 	bool member_dirty;         /* the record has to be written again */
+	bool member_lost;          /* the store lost it, with its lease */
+	uint32_t store_era;        /* see store/revision.h */
 	bf_time_us_t listed_at_us; /* 0: not yet with this lease */
 	/* When the first list of nodes was complete, though maybe old. */
 	bf_time_us_t records_known_us;
@@ -544,7 +548,12 @@
 bf_store_pace_t bf_registry_pace(const bf_mesh_t *mesh);
 /* Writes the record again if what it says of the target has changed. */
 void bf_registry_update(bf_mesh_t *mesh, bf_time_us_t now_us);
-/* Counts and logs the end of a call to the store, and updates store_up. */
+/* Registers anew, as the store was restored from an old copy. */
+void bf_registry_store_restored(bf_mesh_t *mesh, bf_time_us_t now_us);
+/*
+ * Counts and logs the end of a call to the store, and updates store_up and
+ * store_era.
+ */
 void bf_mesh_record_store_call(bf_mesh_t *mesh, bf_store_purpose_t purpose,
     bf_code_t code, bf_time_us_t now_us);
 
@@ -596,6 +605,8 @@
 /* Confirms the versions seen before a complete list of orders was begun. */
 void bf_movement_confirm_versions(
     bf_mesh_t *mesh, bf_time_us_t began_us, bf_time_us_t now_us);
+/* Writes the states of moves again, as the store may have lost them. */
+void bf_movement_store_restored(bf_mesh_t *mesh);
 /* Cancels pending writes of outcomes. */
 void bf_movement_stop(bf_mesh_t *mesh);
 void bf_movement_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
--- a/mesh/move_record.c
+++ b/mesh/move_record.c
@@ -53,7 +53,10 @@
 bf_move_record_order_revision(
     const bf_move_record_t *record, const bf_move_t *move)
 {
-	return record->order_deleted ? 0 : move->order_revision;
+	if (record->order_deleted)
+		return 0;
+	return record->restored_order != 0 ? record->restored_order
+					   : move->order_revision;
 }
 
 void
--- a/mesh/move_record.h
+++ b/mesh/move_record.h
@@ -22,6 +22,11 @@
 	bf_move_outcome_t written; /* by the write in progress */
 	bool is_writing;
 	bool order_deleted; /* the order's key is absent */
+	/*
+	 * The store was restored, and the order's key holds an earlier order
+	 * with this revision; 0: it does not.
+	 */
+	uint64_t restored_order;
 } bf_move_record_t;
 
 /*
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -394,6 +394,35 @@
 	}
 }
 
+/* What was read from the store or written to it is of a former era. */
+static void
+forget_stored(bf_tracked_move_t *tracked)
+{
+	tracked->move.settled_revision = 0;
+	tracked->record = (bf_move_record_t){
+		.written = tracked->record.written,
+		.is_writing = tracked->record.is_writing,
+	};
+}
+
+/* The order of the move has another revision in a new era of the store. */
+static void
+adopt_revision(bf_tracked_move_t *tracked, uint64_t revision)
+{
+	tracked->move.order_revision = revision;
+	bf_move_history_add(&tracked->history, tracked->move.version, revision);
+	forget_stored(tracked);
+}
+
+void
+bf_movement_store_restored(bf_mesh_t *mesh)
+{
+	uint32_t i;
+
+	for (i = 0; i < mesh->move_count; i++)
+		forget_stored(&mesh->moves[i]);
+}
+
 void
 bf_movement_apply_order(
     bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
@@ -409,12 +438,28 @@
 		return;
 	}
 	tracked = find_or_add_move(mesh, order.service);
-	if (tracked == NULL || item->revision <= tracked->move.order_revision)
+	if (tracked == NULL)
+		return;
+	switch (bf_move_history_classify(
+	    &tracked->history, &tracked->move, order.version, item->revision)) {
+	case BF_ORDER_OLD:
+		if (item->revision > tracked->move.order_revision)
+			tracked->record.restored_order = item->revision;
+		return;
+	case BF_ORDER_SAME:
+		adopt_revision(tracked, item->revision);
+		log_move(tracked, "order restored", now_us);
+		send_to_all(tracked, now_us);
 		return;
+	case BF_ORDER_NEW:
+		break;
+	}
+	bf_move_history_add(&tracked->history, order.version, item->revision);
 	keep_withdrawn(tracked, order.version);
 	bf_move_begin(&tracked->move, &order, item->revision, now_us);
 	tracked->ordered = true;
 	tracked->record.order_deleted = false;
+	tracked->record.restored_order = 0;
 	tracked->span_start_us = 0;
 	(void)bf_move_settle(&tracked->move, &tracked->record);
 	log_move(tracked, "ordered", now_us);
@@ -458,6 +503,19 @@
 	tracked = find_or_add_move(mesh, received.service);
 	if (tracked == NULL)
 		return;
+	switch (bf_move_history_classify(&tracked->history, &tracked->move,
+	    received.version, received.order_revision)) {
+	case BF_ORDER_OLD:
+		/* Reported by a node that does not know what came after. */
+		if (received.order_revision > tracked->move.order_revision)
+			return;
+		break;
+	case BF_ORDER_SAME:
+		adopt_revision(tracked, received.order_revision);
+		break;
+	case BF_ORDER_NEW:
+		break;
+	}
 	newer = received.order_revision > tracked->move.order_revision;
 	if (!bf_move_supersedes(&received, &tracked->move) &&
 	    !is_share_of_leader(mesh, peer, &received, &tracked->move))
@@ -474,8 +532,12 @@
 		keep_withdrawn(tracked, received.version);
 	tracked->move = received;
 	tracked->ordered = true;
-	if (newer)
+	if (newer) {
 		tracked->record.order_deleted = false;
+		tracked->record.restored_order = 0;
+		bf_move_history_add(&tracked->history, received.version,
+		    received.order_revision);
+	}
 	if (differs)
 		log_move(tracked, "told", now_us);
 	settle(tracked, now_us);
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -17,6 +17,8 @@
 
 /* Delay before a missing record is written again, to avoid a busy loop. */
 #define REWRITE_DELAY_US (200 * BF_US_PER_MS)
+/* All nodes register anew when the store was restored; they spread over it. */
+#define REGISTER_AGAIN_US BF_US_PER_S
 /* Interval at which nodes are listed again, in case one was missed. */
 #define LIST_INTERVAL_US (12 * BF_US_PER_S)
 /* Eight texts of up to 63 bytes, of which each may take six in JSON. */
@@ -150,6 +152,14 @@
 	const bf_kv_vtable_t *kv = mesh->kv->vtable;
 	bf_store_pace_t pace;
 
+	if (mesh->member_lost) {
+		/* The lease's number may be that of another lease now. */
+		mesh->member_lost = false;
+		mesh->member_step = BF_REGISTRATION_GRANT;
+		mesh->member_revision = 0;
+		mesh->listed_at_us = 0;
+		mesh->list_after[0] = '\0';
+	}
 	switch ((bf_registration_step_t)mesh->member_step) {
 	case BF_REGISTRATION_GRANT:
 		kv->lease_grant(
@@ -431,6 +441,25 @@
 	start_call(mesh, now_us);
 }
 
+static void
+schedule_registration(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_loop_timer_set(mesh->loop, &mesh->member_timer,
+	    now_us +
+		(bf_time_us_t)(bf_random_next(&mesh->random) %
+		    REGISTER_AGAIN_US));
+}
+
+void
+bf_registry_store_restored(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (mesh->lease == 0)
+		return; /* it was never registered */
+	mesh->member_lost = true;
+	if (mesh->member_call.pending == NULL)
+		schedule_registration(mesh, now_us);
+}
+
 static void
 on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
@@ -445,6 +474,10 @@
 
 	bf_mesh_record_store_call(
 	    mesh, purposes[mesh->member_step], reply->code, now_us);
+	if (mesh->member_lost) {
+		schedule_registration(mesh, now_us);
+		return;
+	}
 	switch (reply->code) {
 	case BF_OK:
 		mesh->member_failures = 0;
@@ -531,6 +564,13 @@
 	const char *name = purpose_names[purpose];
 	bool up;
 
+	if (mesh->kv->era != mesh->store_era) {
+		bf_event(mesh->events, BF_EVENT_STORE_ERA, now_us, "s:i,s:i",
+		    "era", (int)mesh->kv->era, "before", (int)mesh->store_era);
+		mesh->store_era = mesh->kv->era;
+		bf_registry_store_restored(mesh, now_us);
+		bf_movement_store_restored(mesh);
+	}
 	mesh->store_call_counts[purpose]++;
 	bf_metric_count(mesh->metrics.store_purposes, name, 1);
 	bf_metric_count(mesh->metrics.store_calls,
--- a/observe/events.c
+++ b/observe/events.c
@@ -34,6 +34,7 @@
 	[BF_EVENT_STORE_UP] = { "store-up", 10 },
 	[BF_EVENT_STORE_DOWN] = { "store-down", 10 },
 	[BF_EVENT_STORE_CALL] = { "store-call", 10 },
+	[BF_EVENT_STORE_ERA] = { "store-era", 10 },
 	[BF_EVENT_PEER_UP] = { "peer-up", 50 },
 	[BF_EVENT_PEER_DOWN] = { "peer-down", 50 },
 	[BF_EVENT_PEER_GONE] = { "peer-gone", 50 },
--- a/observe/events.h
+++ b/observe/events.h
@@ -21,6 +21,7 @@
 	BF_EVENT_STORE_UP, /* the store is reachable */
 	BF_EVENT_STORE_DOWN,
 	BF_EVENT_STORE_CALL, /* a call to the store failed */
+	BF_EVENT_STORE_ERA,  /* the store was restored from an old copy */
 	BF_EVENT_PEER_UP,
 	BF_EVENT_PEER_DOWN,
 	BF_EVENT_PEER_GONE,      /* a peer was removed */
--- a/store/async.h
+++ b/store/async.h
@@ -16,6 +16,9 @@
  *   BF_ERR_UNSETTLED    a write that may take effect, perhaps later
  *   BF_ERR_TIMEOUT      a read that got no complete answer in time
  *   BF_ERR_LIMIT        rejected by the rate limit, without effect
+ * All revisions are those of store/revision.h.  After the store was restored
+ * from an old copy, a watch from a former revision ends with BF_ERR_STALE and
+ * a write with a condition on one has no effect or ends with BF_ERR_UNSETTLED.
  */
 
 typedef struct bf_kv bf_kv_t;
@@ -95,6 +98,11 @@
 
 struct bf_kv {
 	const bf_kv_vtable_t *vtable;
+	/*
+	 * The greatest era that the store has stated; see store/revision.h.
+	 * When it rises, what was written since the copy is lost, leases too.
+	 */
+	uint32_t era;
 };
 
 #endif
--- a/store/kv_watcher.c
+++ b/store/kv_watcher.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "store/kv_watcher.h"
+#include "store/revision.h"
 
 #define RETRY_DELAY_FIRST_US (50 * BF_US_PER_MS)
 #define RETRY_DELAY_MAX_US (1500 * BF_US_PER_MS)
@@ -61,6 +62,12 @@
 	 */
 	if (watcher->list_revision == 0)
 		watcher->list_revision = reply->revision;
+	/* The store was restored between two pages. */
+	if (bf_revision_era(watcher->list_revision) !=
+	    bf_revision_era(reply->revision)) {
+		begin_list(watcher);
+		return;
+	}
 	if (reply->has_more && reply->item_count > 0) {
 		(void)snprintf(watcher->after_key, sizeof(watcher->after_key),
 		    "%s", reply->items[reply->item_count - 1].key);
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -8,6 +8,7 @@
 
 #include <apr_strings.h>
 
+#include "store/revision.h"
 #include "tests/mesh_fixture.h"
 
 #define STORE_DELAY_US 500
@@ -252,6 +253,12 @@
 		    now_us + STORE_DELAY_US);
 		return;
 	}
+	if (bf_revision_era(after_revision) < kv->era) {
+		entry->reply = (bf_kv_reply_t){ .code = BF_ERR_STALE };
+		bf_loop_timer_set(store_of(kv)->fixture->loop, &entry->timer,
+		    now_us + STORE_DELAY_US);
+		return;
+	}
 	if (store_of(kv)->drop_watch_events)
 		return;
 	collect_items(entry, prefix, after_revision);
@@ -267,7 +274,8 @@
 	size_t i;
 
 	for (i = 0; i < STORE_CALLS_MAX && !store->drop_watch_events; i++) {
-		if (store->calls[i].call == NULL || !store->calls[i].is_watch)
+		if (store->calls[i].call == NULL || !store->calls[i].is_watch ||
+		    store->calls[i].reply.code != BF_OK)
 			continue;
 		collect_items(&store->calls[i], store->calls[i].prefix,
 		    store->calls[i].after_revision);
@@ -396,6 +404,45 @@
 	reply_to_watches(&fixture->store);
 }
 
+memory_store_t *
+fixture_copy_store(const mesh_fixture_t *fixture)
+{
+	return g_memdup2(&fixture->store, sizeof(fixture->store));
+}
+
+/* The number of a revision, in the present era of the store. */
+static uint64_t
+in_present_era(const memory_store_t *store, uint64_t revision)
+{
+	return bf_revision_make(store->kv.era, bf_revision_number(revision));
+}
+
+void
+fixture_restore_store(mesh_fixture_t *fixture, const memory_store_t *copy)
+{
+	memory_store_t *store = &fixture->store;
+	size_t i;
+
+	store->kv.era++;
+	store->key_count = 0;
+	for (i = 0; i < copy->key_count; i++) {
+		/* Leases are lost, and with them what is written under one. */
+		if (copy->keys[i].lease != 0)
+			continue;
+		store->keys[store->key_count] = copy->keys[i];
+		store->keys[store->key_count++].revision =
+		    in_present_era(store, copy->keys[i].revision);
+	}
+	store->revision = in_present_era(store, copy->revision);
+	for (i = 0; i < STORE_CALLS_MAX; i++) {
+		if (store->calls[i].call == NULL || !store->calls[i].is_watch)
+			continue;
+		store->calls[i].reply = (bf_kv_reply_t){ .code = BF_ERR_STALE };
+		bf_loop_timer_set(fixture->loop, &store->calls[i].timer,
+		    bf_clock_monotonic_us() + STORE_DELAY_US);
+	}
+}
+
 const char *
 fixture_stored(mesh_fixture_t *fixture, const char *key)
 {
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -156,6 +156,12 @@
 /* Writes a key to the store, as an operator would. */
 void fixture_put(mesh_fixture_t *fixture, const char *key, const char *data);
 
+/* A copy of the store; freed by g_free. */
+memory_store_t *fixture_copy_store(const mesh_fixture_t *fixture);
+
+/* Restores the keys and revisions of a copy, in the next era of the store. */
+void fixture_restore_store(mesh_fixture_t *fixture, const memory_store_t *copy);
+
 /* The value of a key of the store; NULL: the key is absent. */
 const char *fixture_stored(mesh_fixture_t *fixture, const char *key);
 
--- a/tests/test_platform_store.c
+++ b/tests/test_platform_store.c
@@ -7,6 +7,7 @@
 #include "mesh/store_pace.h"
 #include "platform/platform.h"
 #include "store/kv_watcher.h"
+#include "store/revision.h"
 #include "tests/soak/proxy.h"
 
 /*
@@ -28,6 +29,8 @@
 	bf_http_request_t *held[HELD_MAX]; /* watches */
 	uint64_t held_after[HELD_MAX];
 	size_t list_bytes; /* length of the next list; 0: as it comes */
+	uint32_t era;      /* stated from 1 on */
+	char last_write[512];
 } stand_in_t;
 
 typedef struct store_case {
@@ -48,7 +51,19 @@
 } store_case_t;
 
 static void
-answer_items(bf_http_request_t *request, const char *list, uint64_t revision)
+answer(stand_in_t *store, bf_http_request_t *request, const char *text)
+{
+	char field[64] = "";
+
+	if (store->era > 0)
+		(void)snprintf(
+		    field, sizeof(field), "Store-Era: %u\r\n", store->era);
+	bf_http_answer(request, 200, field, text, strlen(text));
+}
+
+static void
+answer_items(stand_in_t *store, bf_http_request_t *request, const char *list,
+    uint64_t revision)
 {
 	char text[256];
 
@@ -56,7 +71,7 @@
 	    "{\"%s\":[{\"Key\":\"op/config\",\"Value\":\"eA==\","
 	    "\"ModRevision\":%llu}],\"CurrentRev\":%llu,\"HasMore\":false}",
 	    list, (unsigned long long)revision, (unsigned long long)revision);
-	bf_http_answer(request, 200, "", text, strlen(text));
+	answer(store, request, text);
 }
 
 static void
@@ -94,18 +109,21 @@
 		return;
 	}
 	if (strncmp(target, "/basilfork/kv-range", 19) == 0) {
-		answer_items(request, "items", store->revision);
+		answer_items(store, request, "items", store->revision);
 		return;
 	}
 	if (strncmp(target, "/basilfork/kv-watch", 19) != 0) {
-		bf_http_answer(request, 200, "", "{}", 2);
+		(void)snprintf(store->last_write, sizeof(store->last_write),
+		    "%.*s", (int)bf_bytes_count(&request->message->body),
+		    (const char *)bf_bytes_data(&request->message->body));
+		answer(store, request, "{\"ModRevision\":61}");
 		return;
 	}
 	after = strstr(target, "after=");
 	g_assert_nonnull(after);
 	revision = g_ascii_strtoull(after + strlen("after="), NULL, 10);
 	if (store->revision > revision)
-		answer_items(request, "events", store->revision);
+		answer_items(store, request, "events", store->revision);
 	else
 		hold_watch(store, request, revision);
 }
@@ -140,7 +158,7 @@
 		request = store->held[i];
 		store->held[i] = NULL;
 		if (request != NULL)
-			answer_items(request, "events", store->revision);
+			answer_items(store, request, "events", store->revision);
 	}
 }
 
@@ -335,11 +353,86 @@
 	bf_loop_free(clock.loop);
 }
 
+static bf_code_t written_code;
+
+static void
+on_written(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	(void)call;
+	(void)now_us;
+	written_code = reply->code;
+}
+
+static void
+run_for(bf_loop_t *loop, bf_time_us_t for_us)
+{
+	clock_timer_t clock = { .timer = { .fire = on_clock }, .loop = loop };
+
+	bf_loop_timer_set(loop, &clock.timer, bf_clock_monotonic_us() + for_us);
+	bf_loop_run(loop);
+}
+
+static void
+write_with_condition(store_case_t *test, bf_loop_t *loop, uint64_t revision)
+{
+	bf_kv_write_t write = { .key = "a",
+		.data = "x",
+		.data_bytes = 1,
+		.expected_revision = revision };
+	bf_kv_call_t call = { .done = on_written };
+
+	test->kv->vtable->write(
+	    test->kv, &call, &write, 1, bf_clock_monotonic_us());
+	run_for(loop, BF_US_PER_S / 4);
+	g_assert_null(call.pending);
+}
+
+/*
+ * The store is restored from an old copy: its revisions go back from 100 to 60
+ * and are given out again.  A watch from revision 100 would wait for changes
+ * that it takes for old ones, and a condition on a former revision could meet
+ * another change of the same number.
+ */
+static void
+test_restored(void)
+{
+	static store_case_t test;
+	bf_loop_t *loop = bf_loop_new(NULL);
+
+	begin(&test, loop, bf_clock_monotonic_us());
+	run_for(loop, BF_US_PER_S / 4);
+	g_assert_cmpuint(test.seen_revision, ==, 100);
+	g_assert_cmpuint(test.kv->era, ==, 0);
+	write_with_condition(&test, loop, 100);
+	g_assert_cmpint(written_code, ==, BF_OK);
+	g_assert_nonnull(strstr(test.store.last_write, "\"ModRevision\":100"));
+
+	test.store.era = 1;
+	test.store.revision = 59;
+	put(&test.store);
+	run_for(loop, 3 * BF_US_PER_S / 2);
+	g_assert_cmpuint(test.kv->era, ==, 1);
+	g_assert_cmpuint(test.seen_revision, ==, bf_revision_make(1, 60));
+	g_assert_cmpuint(test.watcher.revision, ==, bf_revision_make(1, 60));
+
+	/* Conditions on former revisions cannot hold. */
+	write_with_condition(&test, loop, 100);
+	g_assert_null(strstr(test.store.last_write, "\"ModRevision\":100"));
+	/* Its condition might have met another change of that number. */
+	g_assert_cmpint(written_code, ==, BF_ERR_UNSETTLED);
+	write_with_condition(&test, loop, bf_revision_make(1, 60));
+	g_assert_nonnull(strstr(test.store.last_write, "\"ModRevision\":60"));
+	g_assert_cmpint(written_code, ==, BF_OK);
+	end(&test);
+	bf_loop_free(loop);
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform-store/silent", test_silent_connections);
 	g_test_add_func("/platform-store/long-answer", test_long_answer);
+	g_test_add_func("/platform-store/restored", test_restored);
 	return g_test_run();
 }
