Identify the account of a call

Cause: the configuration may define client accounts, but requests ran without a key, and nothing told whose call a node or a target handles.

Change: accounts/authenticate.h decides from the Authorization fields, the route and the known runs whether a request is served, gets 401 or 503, and which account it belongs to. The entry does so for each request if the configuration has accounts, drops the key and any account field of the caller, and sets the account's name. The account's id travels in the offer as its last field. An offer without a known reverse transit time states one that makes a node of the previous version fall back to the queueing delay, as it does without the field. A call's priority is its account's, then its route's; without accounts nothing changes.

--- a/accounts/directory.c
+++ b/accounts/directory.c
@@ -21,6 +21,7 @@
 	apr_pool_t *pool;
 	apr_array_header_t *accounts; /* bf_account_t * */
 	apr_hash_t *by_name;          /* name -> bf_account_t */
+	apr_hash_t *by_id;            /* id -> bf_account_t */
 	apr_hash_t *by_digest;        /* digest of a key -> key_entry_t */
 	/* The secret of this directory, with which keys are digested. */
 	uint8_t secret[crypto_generichash_KEYBYTES];
@@ -38,6 +39,7 @@
 	directory->accounts =
 	    apr_array_make(pool, ACCOUNTS_INITIAL, sizeof(bf_account_t *));
 	directory->by_name = apr_hash_make(pool);
+	directory->by_id = apr_hash_make(pool);
 	directory->by_digest = apr_hash_make(pool);
 	randombytes_buf(directory->secret, sizeof(directory->secret));
 	return directory;
@@ -59,6 +61,7 @@
 		copy->id = 1;
 	APR_ARRAY_PUSH(directory->accounts, bf_account_t *) = copy;
 	apr_hash_set(directory->by_name, copy->name, APR_HASH_KEY_STRING, copy);
+	apr_hash_set(directory->by_id, &copy->id, sizeof(copy->id), copy);
 	return BF_OK;
 }
 
@@ -120,6 +123,13 @@
 	return apr_hash_get(directory->by_name, name, APR_HASH_KEY_STRING);
 }
 
+const bf_account_t *
+bf_account_directory_find_id(
+    const bf_account_directory_t *directory, uint64_t id)
+{
+	return apr_hash_get(directory->by_id, &id, sizeof(id));
+}
+
 const bf_account_t *
 bf_account_directory_authenticate(
     const bf_account_directory_t *directory, const char *key)
--- a/accounts/directory.h
+++ b/accounts/directory.h
@@ -53,6 +53,10 @@
 const bf_account_t *bf_account_directory_find(
     const bf_account_directory_t *directory, const char *name);
 
+/* The account with that id; NULL: there is none. */
+const bf_account_t *bf_account_directory_find_id(
+    const bf_account_directory_t *directory, uint64_t id);
+
 /* The account that has the key; NULL: none has. */
 const bf_account_t *bf_account_directory_authenticate(
     const bf_account_directory_t *directory, const char *key);
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -5,6 +5,7 @@
 
 #include <apr_tables.h>
 
+#include "accounts/authenticate.h"
 #include "mesh/internal.h"
 
 /*
@@ -59,6 +60,8 @@
 	bf_routing_t *routing;
 	bf_mesh_route_t *route;
 	const char *service;
+	/* Of routing; NULL: none.  Of the parent's call if inner. */
+	const bf_account_t *account;
 	char request_id[BF_REQUEST_ID_BYTES];
 	bf_time_us_t began_us;
 	bf_time_us_t deadline_us;
@@ -93,7 +96,8 @@
 	static const char *const names[BF_CAUSE_COUNT] = { "none", "busy",
 		"draining", "no-target", "expired", "connect", "rejected",
 		"broken", "bad-answer", "timeout", "peer-lost", "no-config",
-		"no-route", "no-place", "memory", "starving" };
+		"no-route", "no-place", "memory", "starving", "no-key",
+		"no-parent", "stale-keys" };
 
 	return names[cause];
 }
@@ -463,6 +467,7 @@
 		.body = message->body.data + message->body.start,
 		.body_bytes = bf_bytes_count(&message->body),
 		.has_body = has_body(message),
+		.account_id = call->account != NULL ? call->account->id : 0,
 	};
 
 	call->offer_id = ++mesh->last_offer_id;
@@ -898,6 +903,17 @@
 	give_up(call, BF_CAUSE_TIMEOUT, now_us);
 }
 
+/* Whether a field identifies the caller: only the mesh may set it. */
+static bool
+identifies_caller(const bf_entry_call_t *call, const char *name)
+{
+	const bf_dialect_t *dialect = call->mesh->dialect;
+
+	return bf_routing_accounts(call->routing) != NULL &&
+	    (strcasecmp(name, dialect->authorization) == 0 ||
+		strcasecmp(name, dialect->account) == 0);
+}
+
 /* Writes the request head for the target, without the fields its node adds. */
 static void
 write_head(bf_entry_call_t *call)
@@ -915,13 +931,17 @@
 		if (bf_http_hop_by_hop(message, name) ||
 		    strcasecmp(name, dialect->time_left_ms) == 0 ||
 		    strcasecmp(name, dialect->expected_target) == 0 ||
-		    strcasecmp(name, dialect->caller_service) == 0)
+		    strcasecmp(name, dialect->caller_service) == 0 ||
+		    identifies_caller(call, name))
 			continue;
 		bf_bytes_format(
 		    &call->head, "%s: %s\r\n", name, bf_http_value(message, i));
 	}
 	bf_bytes_format(&call->head, "%s: %s\r\n", dialect->caller_service,
 	    call->mesh->service);
+	if (call->account != NULL && !call->inner)
+		bf_bytes_format(&call->head, "%s: %s\r\n", dialect->account,
+		    call->account->name);
 }
 
 /* Refuses a request for which no call was created. */
@@ -933,6 +953,9 @@
 	const char *id;
 
 	id = bf_http_find(request->message, mesh->dialect->request_id);
+	if (status == 401)
+		(void)snprintf(field, sizeof(field), "WWW-Authenticate: %s\r\n",
+		    mesh->dialect->authorization_scheme);
 	if (status == 503)
 		retry_after_field(mesh,
 		    cause == BF_CAUSE_NO_CONFIG ? startup_wait_us(mesh, now_us)
@@ -977,6 +1000,58 @@
 		call->objective_us = call->deadline_us;
 }
 
+/*
+ * Identifies the account of a request, or answers it.  Returns whether the call
+ * may be made.
+ */
+static bool
+identify(bf_mesh_t *mesh, bf_http_request_t *request,
+    const bf_mesh_route_t *route, const bf_target_call_t *parent,
+    bf_identity_t *identity, bf_time_us_t now_us)
+{
+	const bf_account_directory_t *accounts =
+	    bf_routing_accounts(mesh->routing);
+	const bf_http_message_t *message = request->message;
+	const char *id = bf_http_find(message, mesh->dialect->request_id);
+	bf_credentials_t credentials = {
+		.route_is_public = route->is_public,
+		.has_parent = parent != NULL,
+		.parent_account_id =
+		    parent != NULL ? bf_target_call_account_id(parent) : 0,
+		.names_parent = id != NULL && strchr(id, '.') != NULL,
+	};
+	uint32_t i;
+
+	*identity = (bf_identity_t){ .inner = parent != NULL };
+	if (accounts == NULL)
+		return true;
+	for (i = 0; i < message->field_count; i++) {
+		if (strcasecmp(bf_http_name(message, i),
+			mesh->dialect->authorization) == 0 &&
+		    credentials.authorization_count++ == 0)
+			credentials.authorization = bf_http_value(message, i);
+	}
+	*identity = bf_account_identify(
+	    accounts, mesh->dialect->authorization_scheme, &credentials);
+	switch (identity->access) {
+	case BF_ACCESS_GRANTED:
+		return true;
+	case BF_ACCESS_NO_KEY:
+		answer_without_call(
+		    mesh, request, 401, BF_CAUSE_NO_KEY, now_us);
+		break;
+	case BF_ACCESS_NO_PARENT:
+		answer_without_call(
+		    mesh, request, 503, BF_CAUSE_NO_PARENT, now_us);
+		break;
+	case BF_ACCESS_STALE:
+		answer_without_call(
+		    mesh, request, 503, BF_CAUSE_STALE_KEYS, now_us);
+		break;
+	}
+	return false;
+}
+
 static void
 on_request(
     bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
@@ -986,6 +1061,7 @@
 	bf_mesh_route_t *route;
 	bf_entry_call_t *call;
 	const bf_target_call_t *parent;
+	bf_identity_t identity;
 	bf_retry_budget_t *budget;
 
 	if (mesh->routing == NULL) {
@@ -1002,6 +1078,12 @@
 		    mesh, request, 404, BF_CAUSE_NO_ROUTE, now_us);
 		return;
 	}
+	id = bf_http_find(request->message, mesh->dialect->request_id);
+	parent = bf_target_find_parent(mesh, id != NULL ? id : "");
+	if (!identify(mesh, request, route, parent, &identity, now_us))
+		return;
+	if (!identity.inner)
+		parent = NULL;
 	call = calloc(1, sizeof(*call));
 	if (call == NULL) {
 		answer_without_call(
@@ -1014,7 +1096,7 @@
 	bf_routing_hold(mesh->routing);
 	call->route = route;
 	call->service = bf_route_next_service(route);
-	id = bf_http_find(request->message, mesh->dialect->request_id);
+	call->account = identity.account;
 	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
 	    id != NULL ? id : "");
 	/*
@@ -1022,10 +1104,11 @@
 	 * serves: with the priority of its own route it could take slots from
 	 * calls that operators rank above that one.
 	 */
-	parent = bf_target_find_parent(mesh, call->request_id);
 	call->inner = parent != NULL;
-	call->priority =
-	    parent != NULL ? bf_target_call_priority(parent) : route->priority;
+	call->priority = parent != NULL
+	    ? bf_target_call_priority(parent)
+	    : bf_account_call_priority(bf_routing_accounts(mesh->routing),
+		  call->account, route->priority);
 	call->parent_is_retry =
 	    parent != NULL && bf_target_call_is_retry(parent);
 	request->user = call;
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -172,7 +172,10 @@
 	BF_CAUSE_NO_ROUTE,
 	BF_CAUSE_NO_CANDIDATE, /* no target of the service can run it */
 	BF_CAUSE_MEMORY,
-	BF_CAUSE_THROTTLED, /* a service that it would call is full */
+	BF_CAUSE_THROTTLED,  /* a service that it would call is full */
+	BF_CAUSE_NO_KEY,     /* it has no key of an account */
+	BF_CAUSE_NO_PARENT,  /* it has none, and its parent is not known */
+	BF_CAUSE_STALE_KEYS, /* keys may have been withdrawn meanwhile */
 	BF_CAUSE_COUNT
 } bf_cause_t;
 
@@ -221,7 +224,8 @@
 	const void *body;
 	size_t body_bytes;
 	bool has_body;
-	bool body_follows; /* in parts, when the receiver requests them */
+	bool body_follows;   /* in parts, when the receiver requests them */
+	uint64_t account_id; /* of the caller's account; 0: none */
 } bf_offer_t;
 
 /* Moving average of the time that runs of a route take at the own target. */
@@ -685,6 +689,8 @@
 bf_target_call_t *bf_target_find_parent(const bf_mesh_t *mesh, const char *id);
 uint32_t bf_target_call_priority(const bf_target_call_t *call);
 bool bf_target_call_is_retry(const bf_target_call_t *call);
+/* The caller's account; 0: none. */
+uint64_t bf_target_call_account_id(const bf_target_call_t *call);
 /* Marks the run that made the call of this id, which was refused as busy. */
 void bf_target_mark_dependency_busy(bf_mesh_t *mesh, const char *id);
 /* Calls that run or wait at the own target. */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -58,6 +58,12 @@
 #define CONFIG_RELAYS_ONLY_US BF_US_PER_S
 /* A received frame whose transit took this much longer than usual is logged. */
 #define FRAME_LATE_US (200 * BF_US_PER_MS)
+/*
+ * Stands for an unknown reverse transit time in a frame that has further
+ * fields.  Any transit time added to it is negative, so a node of before those
+ * fields uses the queueing delay instead, as without a reverse transit time.
+ */
+#define REVERSE_TRANSIT_UNKNOWN ((uint64_t)(INT64_MIN / 2))
 
 static void dial(bf_peer_t *peer, bf_time_us_t now_us);
 static void remove_peer(bf_peer_t *peer, bf_time_us_t now_us);
@@ -726,6 +732,8 @@
 	    ? bf_wire_read_uint(reader, BF_FRAME_BODY_BYTES_MAX)
 	    : frame->body_bytes;
 	age_us = read_frame_age(reader, frame);
+	if (!bf_wire_reader_done(reader))
+		offer.account_id = bf_wire_read_uint(reader, UINT64_MAX);
 	if (reader->code != BF_OK)
 		return;
 	offer.request_id = request_id;
@@ -772,6 +780,11 @@
 		bf_wire_write_uint(writer, offer->body_bytes);
 	if (offer->has_reverse_transit)
 		bf_wire_write_uint(writer, (uint64_t)offer->reverse_transit_us);
+	if (offer->account_id == 0)
+		return;
+	if (!offer->has_reverse_transit)
+		bf_wire_write_uint(writer, REVERSE_TRANSIT_UNKNOWN);
+	bf_wire_write_uint(writer, offer->account_id);
 }
 
 /* Handles a frame received on a connection that a peer dialled. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -66,6 +66,7 @@
 	bf_bytes_t body;
 	bf_body_pull_t pull;
 	char target[BF_NAME_BYTES]; /* id of the target that it is for */
+	uint64_t account_id;        /* of the caller; 0: none */
 	bool has_body;
 	bool repeatable;
 	bool is_retry;
@@ -193,6 +194,12 @@
 	return call->is_retry;
 }
 
+uint64_t
+bf_target_call_account_id(const bf_target_call_t *call)
+{
+	return call->account_id;
+}
+
 void
 bf_target_mark_dependency_busy(bf_mesh_t *mesh, const char *id)
 {
@@ -725,6 +732,7 @@
 		.has_body = offer->has_body,
 		.repeatable = offer->repeatable,
 		.is_retry = offer->is_retry,
+		.account_id = offer->account_id,
 		.arrived_us = now_us,
 		.sent_us = now_us,
 		.exchange = { .done = on_exchange,
