Refuse keys that may have been withdrawn

Cause: a node that is cut off, was paused or has just started serves keys that were withdrawn meanwhile.

A node whose knowledge is older than nine tenths of revoke_ms answers 503 to requests with a key and is not ready; public routes and calls of targets go on. A node that lacks the configuration of a reply does not count as current, and requests it. kv_watcher reports when a read begins and when all that it says was applied. The event finished states the account; the event freshness and two metrics state the age and the refusal.

--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -79,6 +79,7 @@
 		.head_timeout_us = limits->head_timeout_ms * BF_US_PER_MS,
 		.idle_timeout_us = limits->idle_timeout_ms * BF_US_PER_MS,
 	    });
+	bf_mesh_freshness_config_applied(mesh, now_us);
 	bf_target_check_health(mesh, now_us);
 }
 
@@ -330,8 +331,27 @@
 	    code, now_us);
 }
 
+static void
+on_operator_read_begins(bf_kv_watcher_t *watcher, bf_time_us_t now_us)
+{
+	(void)now_us;
+	bf_mesh_freshness_read_begins(
+	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys));
+}
+
+static void
+on_operator_read_done(bf_kv_watcher_t *watcher, bool is_watch,
+    const bf_kv_reply_t *reply, bf_time_us_t now_us)
+{
+	bf_mesh_freshness_read_done(
+	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys), is_watch, reply,
+	    now_us);
+}
+
 static const bf_kv_watcher_vtable_t operator_keys_vtable = {
 	.on_item = on_operator_item,
+	.on_read_begins = on_operator_read_begins,
+	.on_read_done = on_operator_read_done,
 	.on_call_done = on_operator_call_done,
 };
 
@@ -379,7 +399,7 @@
 		.kv = mesh->kv,
 		.loop = mesh->loop,
 		.prefix = mesh->dialect->operator_prefix,
-		.wait_ms = BF_WATCH_WAIT_MS,
+		.wait_ms = bf_mesh_freshness_watch_wait_ms(mesh),
 		.coalesce_us = COALESCE_US,
 		.random = bf_random_next(&mesh->random),
 	};
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -33,6 +33,8 @@
 #define STARTUP_US (900 * BF_US_PER_MS)
 /* If it does not, it is likely to take this much longer. */
 #define STARTUP_AGAIN_US (300 * BF_US_PER_MS)
+/* Other nodes are asked twice a second for the present configuration. */
+#define STALE_KEYS_RETRY_US (500 * BF_US_PER_MS)
 /*
  * Part of the shared budget that all nodes together may use.  While the rate of
  * calls falls from a peak, the time window in which the budget is checked can
@@ -144,8 +146,9 @@
 	if (status < 400 && !bf_events_sampled(mesh->events, call->request_id))
 		return;
 	bf_event(mesh->events, BF_EVENT_FINISHED, now_us,
-	    "s:s,s:s,s:s,s:i,s:s,s:s,s:b,s:I,s:I,s:i,s:i,s:b,s:I", "call",
-	    call->request_id, "route", call->route->name, "service",
+	    "s:s,s:s,s:s,s:s,s:i,s:s,s:s,s:b,s:I,s:I,s:i,s:i,s:b,s:I", "call",
+	    call->request_id, "route", call->route->name, "account",
+	    call->account != NULL ? call->account->name : "", "service",
 	    call->service, "status", (int)status, "outcome", outcome, "cause",
 	    bf_cause_name(cause), "late", (int)late, "took_us",
 	    (json_int_t)(now_us - call->began_us), "left_us",
@@ -959,7 +962,8 @@
 	if (status == 503)
 		retry_after_field(mesh,
 		    cause == BF_CAUSE_NO_CONFIG ? startup_wait_us(mesh, now_us)
-						: 0,
+			: cause == BF_CAUSE_STALE_KEYS ? STALE_KEYS_RETRY_US
+						       : 0,
 		    field, sizeof(field));
 	bf_metric_count(mesh->metrics.calls, "not-run", 1);
 	bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
@@ -1019,6 +1023,8 @@
 		.parent_account_id =
 		    parent != NULL ? bf_target_call_account_id(parent) : 0,
 		.names_parent = id != NULL && strchr(id, '.') != NULL,
+		.keys_are_stale =
+		    bf_mesh_keys_are_stale(mesh, bf_clock_boottime_us()),
 	};
 	uint32_t i;
 
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -372,8 +372,10 @@
 	bf_metric_family_t *log_lines;   /* by result */
 	bf_metric_family_t *left;        /* time since a caller left */
 	bf_metric_family_t *frame_delay; /* by kind of frame */
-	bf_metric_family_t *iteration;   /* of the event loop */
-	bf_metric_family_t *unsent;      /* bytes queued for other nodes */
+	bf_metric_family_t *freshness;   /* age and refusal */
+	bf_metric_family_t *freshness_asks; /* by result */
+	bf_metric_family_t *iteration;      /* of the event loop */
+	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
 } bf_mesh_metrics_t;
 
 /* How often nodes report to each other, and when silence is a failure. */
@@ -425,6 +427,7 @@
 	bf_time_us_t config_request_after_us; /* earliest next request */
 	bf_time_us_t config_send_after_us;    /* earliest next long one */
 	bf_timer_t config_send_timer;
+	struct bf_mesh_freshness *freshness; /* see mesh/freshness.c */
 
 	/* Nodes. */
 	bf_peer_t *peers; /* includes this node */
@@ -579,6 +582,36 @@
 void bf_config_source_receive(bf_peer_t *peer, const bf_frame_t *frame,
     bf_wire_reader_t *reader, bf_time_us_t now_us);
 
+/* mesh/freshness.c: how old this node's knowledge of the configuration is. */
+bf_code_t bf_mesh_freshness_open(bf_mesh_t *mesh);
+void bf_mesh_freshness_close(bf_mesh_t *mesh);
+/* Longest wait of a watch of the operators' keys. */
+uint32_t bf_mesh_freshness_watch_wait_ms(const bf_mesh_t *mesh);
+/* A list or a watch of the operators' keys begins. */
+void bf_mesh_freshness_read_begins(bf_mesh_t *mesh);
+/* It is complete, and what it says was applied. */
+void bf_mesh_freshness_read_done(bf_mesh_t *mesh, bool is_watch,
+    const bf_kv_reply_t *reply, bf_time_us_t now_us);
+/* A configuration was put in force. */
+void bf_mesh_freshness_config_applied(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Answers a peer that asks for the present configuration. */
+void bf_mesh_freshness_answer(
+    bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us);
+/* Receives a peer's answer. */
+void bf_mesh_freshness_receive(
+    bf_peer_t *peer, bf_wire_reader_t *reader, bf_time_us_t now_us);
+void bf_mesh_freshness_update_gauges(const bf_mesh_t *mesh);
+/*
+ * Whether the knowledge of the configuration in force is at most nine tenths of
+ * revoke_ms old.  It is tracked only if the configuration has accounts and the
+ * options ask for it; false otherwise.  boot_us: the boot-time clock.
+ */
+bool bf_mesh_knows_present_config(const bf_mesh_t *mesh, bf_time_us_t boot_us);
+/* Whether keys are refused, as they may have been withdrawn. */
+bool bf_mesh_keys_are_stale(const bf_mesh_t *mesh, bf_time_us_t boot_us);
+/* The same now. */
+bool bf_mesh_refuses_keys(const bf_mesh_t *mesh);
+
 /* mesh/movement.c: the moves of services to new versions. */
 
 /* Handles an operator's order of a move, read from the store. */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -68,6 +68,14 @@
 	    "bf_frame_delay_microseconds",
 	    "Transit time of received frames beyond the recent minimum",
 	    "kind");
+	m->freshness = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_freshness",
+	    "Age of the knowledge of the configuration, and refusal of keys",
+	    "figure");
+	m->freshness_asks =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_freshness_asks_total",
+		"Questions to other nodes for the present configuration, by "
+		"result",
+		"result");
 	m->iteration = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
 	    "bf_loop_microseconds",
 	    "Time of an iteration of the event loop, without its wait", NULL);
@@ -110,6 +118,13 @@
 	mesh->events = events;
 	mesh->incarnation = (uint64_t)bf_clock_wall_us();
 	mesh->random = bf_hash_text(options->instance, mesh->incarnation) | 1;
+	if (bf_mesh_freshness_open(mesh) != BF_OK) {
+		apr_pool_destroy(mesh->pool);
+		free(mesh);
+		bf_error_set(
+		    err, BF_ERR_MEMORY, "cannot allocate the mesh node");
+		return NULL;
+	}
 	mesh->offered_calls = apr_hash_make(mesh->pool);
 	mesh->caller_server.listener.source.fd = -1;
 	mesh->peer_listener.source.fd = -1;
@@ -151,6 +166,7 @@
 	if (mesh->caller_server.loop != NULL)
 		bf_http_server_close(&mesh->caller_server);
 	bf_config_source_stop(mesh);
+	bf_mesh_freshness_close(mesh);
 	bf_registry_stop(mesh);
 	bf_roster_close(mesh);
 	bf_target_restore_stop(mesh);
@@ -170,7 +186,8 @@
 bool
 bf_mesh_ready(const bf_mesh_t *mesh)
 {
-	return mesh->routing != NULL && !mesh->stopping;
+	return mesh->routing != NULL && !mesh->stopping &&
+	    !bf_mesh_refuses_keys(mesh);
 }
 
 bf_time_us_t
@@ -302,6 +319,7 @@
 	bf_metric_set(m->config, "age_microseconds",
 	    mesh->routing != NULL ? (uint64_t)(now_us - mesh->config_applied_us)
 				  : 0);
+	bf_mesh_freshness_update_gauges(mesh);
 	bf_metric_set(m->queue, "running", mesh->target.queue.running);
 	bf_metric_set(m->queue, "waiting", mesh->target.queue.count);
 	bf_metric_set(m->queue, "slots", mesh->target.queue.slots);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -349,6 +349,9 @@
 	case BF_FRAME_VERSION:
 		bf_movement_receive_confirmed(peer->mesh, &reader, now_us);
 		break;
+	case BF_FRAME_FRESHNESS:
+		bf_mesh_freshness_receive(peer, &reader, now_us);
+		break;
 	case BF_FRAME_PROBE:
 		send_probe(peer, now_us);
 		break;
@@ -821,6 +824,9 @@
 	case BF_FRAME_BODY:
 		bf_target_receive_body(mesh, inbound, frame, now_us);
 		break;
+	case BF_FRAME_FRESHNESS_GET:
+		bf_mesh_freshness_answer(inbound, &reader, now_us);
+		break;
 	case BF_FRAME_CONFIG_GET:
 		bf_config_source_serve(inbound, &reader, now_us);
 		break;
--- a/observe/events.c
+++ b/observe/events.c
@@ -42,6 +42,7 @@
 	[BF_EVENT_TARGET] = { "target", 20 },
 	[BF_EVENT_CONFIG] = { "config", 50 },
 	[BF_EVENT_CONFIG_REFUSED] = { "config-refused", 20 },
+	[BF_EVENT_FRESHNESS] = { "freshness", 20 },
 	[BF_EVENT_ENTRY_REFUSED] = { "entry-refused", 20 },
 	[BF_EVENT_MOVE] = { "move", 50 },
 	[BF_EVENT_FINISHED] = { "finished", 40 },
--- a/observe/events.h
+++ b/observe/events.h
@@ -29,6 +29,7 @@
 	BF_EVENT_TARGET,         /* the target beside this node */
 	BF_EVENT_CONFIG,         /* a configuration was applied */
 	BF_EVENT_CONFIG_REFUSED, /* a configuration was rejected */
+	BF_EVENT_FRESHNESS,      /* keys are refused, or served again */
 	BF_EVENT_ENTRY_REFUSED,  /* an entry of the store is invalid */
 	BF_EVENT_MOVE,           /* ordered, advanced, completed, rolled back */
 	BF_EVENT_FINISHED,       /* entry node: answered or refused a call */
--- a/store/kv_watcher.c
+++ b/store/kv_watcher.c
@@ -33,6 +33,9 @@
 {
 	if (watcher->is_listing && watcher->after_key[0] == '\0')
 		watcher->list_began_us = now_us;
+	if (watcher->vtable->on_read_begins != NULL &&
+	    (!watcher->is_listing || watcher->after_key[0] == '\0'))
+		watcher->vtable->on_read_begins(watcher, now_us);
 	if (watcher->is_listing)
 		watcher->kv->vtable->list(watcher->kv, &watcher->call,
 		    watcher->prefix, watcher->after_key, false, now_us);
@@ -93,15 +96,18 @@
 on_done(bf_kv_call_t *call, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
 	bf_kv_watcher_t *watcher = BF_CONTAINER(call, bf_kv_watcher_t, call);
-	bool changed;
+	bool changed, is_watch = !watcher->is_listing;
 
 	if (watcher->vtable->on_call_done != NULL)
 		watcher->vtable->on_call_done(watcher, reply->code, now_us);
 	switch (reply->code) {
 	case BF_OK:
 		watcher->failures = 0;
-		changed = !watcher->is_listing && reply->item_count > 0;
+		changed = is_watch && reply->item_count > 0;
 		report_items(watcher, reply, now_us);
+		if (watcher->vtable->on_read_done != NULL && !reply->has_more)
+			watcher->vtable->on_read_done(
+			    watcher, is_watch, reply, now_us);
 		if (watcher->lists_only && !watcher->is_listing)
 			return;
 		if (changed && !watcher->is_listing)
--- a/store/kv_watcher.h
+++ b/store/kv_watcher.h
@@ -20,6 +20,14 @@
 	/* A list that began at began_us is complete; may be NULL. */
 	void (*on_list_done)(bf_kv_watcher_t *watcher, bf_time_us_t began_us,
 	    bf_time_us_t now_us);
+	/* A list or a watch begins now; may be NULL. */
+	void (*on_read_begins)(bf_kv_watcher_t *watcher, bf_time_us_t now_us);
+	/*
+	 * That list or watch is complete, and all that it says was reported;
+	 * may be NULL.
+	 */
+	void (*on_read_done)(bf_kv_watcher_t *watcher, bool is_watch,
+	    const bf_kv_reply_t *reply, bf_time_us_t now_us);
 	/* A call to the store ended with that code; may be NULL. */
 	void (*on_call_done)(
 	    bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us);
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -18,15 +18,37 @@
 
 /* ---- dialect ---- */
 
+/* Reads a line "account name key..." */
+static bf_code_t
+decode_account(bf_routing_t *routing, bf_account_directory_t **accounts,
+    const char *line, bf_error_t *err)
+{
+	char **words = g_strsplit(line, " ", -1);
+	bf_code_t code;
+	size_t i;
+
+	if (*accounts == NULL) {
+		*accounts = bf_account_directory_new(bf_routing_pool(routing));
+		bf_routing_set_accounts(routing, *accounts);
+	}
+	code = bf_account_directory_add(
+	    *accounts, &(bf_account_t){ .name = words[1] }, err);
+	for (i = 2; code == BF_OK && words[i] != NULL; i++)
+		code = bf_account_directory_add_key(*accounts, words[i], err);
+	g_strfreev(words);
+	return code;
+}
+
 static bf_code_t
 decode_config(const void *data, size_t bytes, const bf_routing_t *previous,
     bf_routing_t **out, bf_error_t *err)
 {
 	char *text = g_strndup(data, bytes), **lines, kind[16], service[64];
 	bf_mesh_route_t route;
+	bf_account_directory_t *accounts = NULL;
 	bf_routing_t *routing;
 	char prefix[64];
-	bf_code_t code;
+	bf_code_t code = BF_OK;
 	uint64_t version;
 	int i;
 
@@ -45,8 +67,13 @@
 		.body_bytes = 1 << 20,
 		.head_timeout_ms = 3000,
 		.idle_timeout_ms = 15000 });
-	for (i = 1; lines[i] != NULL; i++) {
+	for (i = 1; code == BF_OK && lines[i] != NULL; i++) {
 		memset(&route, 0, sizeof(route));
+		if (g_str_has_prefix(lines[i], "account ")) {
+			code =
+			    decode_account(routing, &accounts, lines[i], err);
+			continue;
+		}
 		if (sscanf(lines[i], "%63s %15s %63s %u %u %u %u", prefix, kind,
 			service, &route.timeout_ms, &route.objective_ms,
 			&route.attempts_max, &route.priority) != 7)
@@ -54,6 +81,7 @@
 		route.name = apr_pstrdup(bf_routing_pool(routing), prefix);
 		route.prefix = route.name;
 		route.host = "mesh.test";
+		route.is_public = g_str_has_suffix(lines[i], " public");
 		route.kind =
 		    strcmp(kind, "safe") == 0 ? BF_ROUTE_SAFE : BF_ROUTE_UNSAFE;
 		route.backend_count = 1;
@@ -69,7 +97,8 @@
 	}
 	g_strfreev(lines);
 	g_free(text);
-	code = bf_routing_finish(routing, err);
+	if (code == BF_OK)
+		code = bf_routing_finish(routing, err);
 	if (code == BF_OK)
 		*out = routing;
 	else
@@ -121,6 +150,9 @@
 	.not_run = "Not-Run",
 	.target_load = "Load",
 	.target_id = "Target-Id",
+	.account = "Account",
+	.authorization = "Authorization",
+	.authorization_scheme = "Bearer",
 	.operator_prefix = "ops/",
 	.config_key = "ops/config",
 	.order_prefix = "ops/move/",
@@ -583,6 +615,11 @@
 	text = bf_http_find(connection->message, "From-Service");
 	(void)snprintf(run->caller_service, sizeof(run->caller_service), "%s",
 	    text != NULL ? text : "");
+	text = bf_http_find(connection->message, "Account");
+	(void)snprintf(
+	    run->account, sizeof(run->account), "%s", text != NULL ? text : "");
+	run->has_authorization =
+	    bf_http_find(connection->message, "Authorization") != NULL;
 	run->remaining_ms = (bf_time_us_t)bf_http_number(
 	    bf_http_find(connection->message, "Left-Ms"), 0);
 	run->received_at_us = bf_clock_monotonic_us();
@@ -755,6 +792,8 @@
 		.retry_share_ppm = 1000000,
 		.retry_burst = 1000,
 		.retry_window_ms = 10000,
+		.fail_closed = fixture->revoke_ms != 0,
+		.revoke_ms = fixture->revoke_ms,
 	};
 	if (fixture->has_links) {
 		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
@@ -765,7 +804,7 @@
 		    1, fixture->links[node].bytes_per_s * 8 / 1000000);
 	}
 	fixture->nodes[node] = bf_mesh_new(options, &dialect, fixture->loop,
-	    &fixture->store.kv, NULL, fixture->metrics, NULL);
+	    &fixture->store.kv, fixture->events, fixture->metrics, NULL);
 	g_assert_nonnull(fixture->nodes[node]);
 	g_assert_cmpint(
 	    bf_mesh_start(fixture->nodes[node], now_us, NULL), ==, BF_OK);
@@ -802,16 +841,9 @@
 	    fixture->nodes[node], &heartbeat, bf_clock_monotonic_us(), NULL);
 }
 
-mesh_fixture_t *
-fixture_new(uint32_t nodes)
-{
-	return fixture_new_with_links(nodes, 0);
-}
-
-mesh_fixture_t *
-fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
+static void
+start_nodes(mesh_fixture_t *fixture, uint32_t nodes, uint64_t bytes_per_s)
 {
-	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
 	struct sockaddr_in unknown = loopback(0);
 	uint32_t i;
 
@@ -821,6 +853,9 @@
 	fixture->store.kv.vtable = &kv_vtable;
 	fixture->store.fixture = fixture;
 	fixture->store.revision = 1;
+	fixture->lost_store.kv.vtable = &kv_vtable;
+	fixture->lost_store.fixture = fixture;
+	fixture->lost_store.down = true;
 	fixture->node_count = nodes;
 	fixture->has_links = bytes_per_s != 0;
 	for (i = 0; i < nodes; i++) {
@@ -837,9 +872,47 @@
 		g_assert_cmpint(
 		    fixture_heartbeat(fixture, i, "v1", false), ==, BF_OK);
 	fixture_run(fixture, SETTLE_US);
+}
+
+mesh_fixture_t *
+fixture_new(uint32_t nodes)
+{
+	return fixture_new_with_links(nodes, 0);
+}
+
+mesh_fixture_t *
+fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
+{
+	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+
+	start_nodes(fixture, nodes, bytes_per_s);
+	return fixture;
+}
+
+mesh_fixture_t *
+fixture_new_with_keys(uint32_t nodes, uint32_t revoke_ms, int events_fd)
+{
+	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+
+	fixture->revoke_ms = revoke_ms;
+	fixture->events = bf_events_new(events_fd, "fixture", 1);
+	start_nodes(fixture, nodes, 0);
 	return fixture;
 }
 
+void
+fixture_cut_from_store(mesh_fixture_t *fixture, uint32_t node)
+{
+	bf_mesh_t *mesh = fixture->nodes[node];
+
+	mesh->kv = &fixture->lost_store.kv;
+	if (mesh->operator_keys.vtable == NULL)
+		return;
+	bf_kv_watcher_stop(&mesh->operator_keys);
+	mesh->operator_keys.kv = mesh->kv;
+	bf_kv_watcher_refresh(&mesh->operator_keys, bf_clock_monotonic_us());
+}
+
 void
 fixture_free(mesh_fixture_t *fixture)
 {
@@ -856,6 +929,7 @@
 	g_ptr_array_free(fixture->connections, TRUE);
 	bf_loop_free(fixture->loop);
 	bf_metrics_set_free(fixture->metrics);
+	bf_events_free(fixture->events);
 	g_free(fixture);
 }
 
@@ -903,6 +977,9 @@
 		text = bf_http_find(message, "Retry-After");
 		if (text != NULL)
 			call->retry_after_s = strtod(text, NULL);
+		text = bf_http_find(message, "WWW-Authenticate");
+		(void)snprintf(call->authenticate, sizeof(call->authenticate),
+		    "%s", text != NULL ? text : "");
 		bf_http_message_free(message);
 	}
 	bf_loop_stop(call->fixture->loop);
@@ -912,6 +989,15 @@
 fixture_send(mesh_fixture_t *fixture, test_call_t *call, uint32_t node,
     const char *method, const char *path, const char *id, uint32_t timeout_ms,
     size_t body_bytes)
+{
+	fixture_send_with_fields(
+	    fixture, call, node, method, path, id, timeout_ms, body_bytes, "");
+}
+
+void
+fixture_send_with_fields(mesh_fixture_t *fixture, test_call_t *call,
+    uint32_t node, const char *method, const char *path, const char *id,
+    uint32_t timeout_ms, size_t body_bytes, const char *fields)
 {
 	bf_bytes_t head = { 0 }, body = { 0 };
 	uint8_t *data;
@@ -930,6 +1016,7 @@
 	    method, path, id, (unsigned int)timeout_ms);
 	if (strcmp(method, "GET") != 0)
 		bf_bytes_format(&head, "Content-Length: %zu\r\n", body_bytes);
+	bf_bytes_add_text(&head, fields);
 	bf_bytes_add_text(&head, "\r\n");
 	if (body_bytes > 0) {
 		data = bf_bytes_reserve(&body, body_bytes);
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -48,6 +48,8 @@
 	bf_time_us_t received_at_us;
 	bf_time_us_t remaining_ms;
 	char caller_service[BF_NAME_BYTES];
+	char account[BF_NAME_BYTES];
+	bool has_authorization;
 	size_t body_bytes;
 	bool closed_early; /* the connection was closed before the answer */
 } target_run_t;
@@ -112,6 +114,9 @@
 	bf_loop_t *loop;
 	bf_metrics_set_t *metrics;
 	memory_store_t store;
+	memory_store_t lost_store; /* of nodes cut off from the store */
+	uint32_t revoke_ms;        /* withdrawn keys fail closed; 0: no */
+	bf_events_t *events;       /* of all nodes, or NULL */
 	bf_mesh_t *nodes[FIXTURE_NODES_MAX];
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
@@ -134,7 +139,8 @@
 	uint32_t status;
 	char body[512];
 	char id[BF_REQUEST_ID_BYTES];
-	double retry_after_s; /* less than 0: no such field */
+	double retry_after_s;  /* less than 0: no such field */
+	char authenticate[32]; /* WWW-Authenticate of the answer */
 	bf_time_us_t began_at_us;
 	bf_time_us_t took_us;
 } test_call_t;
@@ -148,8 +154,18 @@
 /* The same, with a link of that rate between each node and its peers. */
 mesh_fixture_t *fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s);
 
+/*
+ * The same without links; withdrawn keys fail closed after revoke_ms.  Events
+ * of all nodes and calls are written to events_fd.
+ */
+mesh_fixture_t *fixture_new_with_keys(
+    uint32_t nodes, uint32_t revoke_ms, int events_fd);
+
 void fixture_free(mesh_fixture_t *fixture);
 
+/* From now on the store answers no call of this node. */
+void fixture_cut_from_store(mesh_fixture_t *fixture, uint32_t node);
+
 /* Runs the loop for this time. */
 void fixture_run(mesh_fixture_t *fixture, bf_time_us_t for_us);
 
@@ -162,7 +178,8 @@
 /*
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
- * kind service timeout_ms objective_ms attempts priority".
+ * kind service timeout_ms objective_ms attempts priority", and "public" behind
+ * that if callers need no key; or an account: "account name key..."
  */
 void fixture_configure(mesh_fixture_t *fixture, const char *text);
 
@@ -181,6 +198,11 @@
     const char *method, const char *path, const char *id, uint32_t timeout_ms,
     size_t body_bytes);
 
+/* The same with further header fields, each ended by CR and LF. */
+void fixture_send_with_fields(mesh_fixture_t *fixture, test_call_t *call,
+    uint32_t node, const char *method, const char *path, const char *id,
+    uint32_t timeout_ms, size_t body_bytes, const char *fields);
+
 /* Runs the loop until all calls have ended; false after limit_us. */
 bool fixture_await(mesh_fixture_t *fixture, test_call_t *calls, size_t count,
     bf_time_us_t limit_us);
