Test the decoding of accounts and what they bring

Cause: nothing held how accounts, public routes, allowed regions and cold targets reach the mesh, or that refused ones leave no key in a message.

Change: test_platform decodes them, also from known routes, and refuses shared keys, doubled names and faults whose message could quote a key.

--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -125,6 +125,125 @@
 	}
 }
 
+#define ACCOUNTS(list)                                                   \
+	"{\"Version\":\"r17\"," LIMITS ",\"Tenants\":[" list             \
+	"],\"Clusters\":[{\"Name\":\"shop\","                            \
+	"\"HealthPath\":\"/health\",\"MaxConnections\":130,"             \
+	"\"WarmupS\":2.5,\"ColdPerS\":13},{\"Name\":\"store\","          \
+	"\"HealthPath\":\"/health\",\"MaxConnections\":130}],"           \
+	"\"Listeners\":[{\"Authority\":\"a.example\",\"Policies\":["     \
+	"{\"Name\":\"r\",\"Type\":\"safe\",\"TargetLatencyMs\":200,"     \
+	"\"Priority\":2,\"Public\":true,\"AllowedRegions\":[\"north\","  \
+	"\"south\"],\"Match\":{\"Prefix\":\"/a/\"},\"Action\":{" TO_SHOP \
+	"}}," POLICY("safe", "/b/", TO_SHOP) "]}]}"
+
+/* What accounts, their routes and cold targets state reaches the mesh. */
+static void
+test_accounts(void)
+{
+	static const char text[] = ACCOUNTS(
+	    "{\"Name\":\"gold\",\"ApiKeys\":[\"k1\",\"k2\"],\"Priority\":1,"
+	    "\"RatePerS\":12.5,\"Burst\":30},"
+	    "{\"Name\":\"none\",\"ApiKeys\":[]},"
+	    "{\"Name\":\"twice\",\"ApiKeys\":[\"k3\",\"k3\"]}");
+	static const char without[] =
+	    CONFIG("r18", POLICY("safe", "/a/", TO_SHOP));
+	const bf_account_directory_t *accounts;
+	const bf_account_t *account;
+	bf_routing_t *routing, *copy = NULL;
+	bf_mesh_route_t *route;
+	bf_error_t err;
+
+	g_assert_cmpint(decode(text, &routing, &err), ==, BF_OK);
+	accounts = bf_routing_accounts(routing);
+	g_assert_nonnull(accounts);
+	g_assert_cmpuint(bf_account_directory_count(accounts), ==, 3);
+	account = bf_account_directory_authenticate(accounts, "k2");
+	g_assert_nonnull(account);
+	g_assert_cmpstr(account->name, ==, "gold");
+	g_assert_cmpuint(account->priority, ==, 1);
+	g_assert_cmpfloat(account->rate_per_s, ==, 12.5);
+	g_assert_cmpfloat(account->burst, ==, 30);
+	account = bf_account_directory_authenticate(accounts, "k3");
+	g_assert_cmpstr(account->name, ==, "twice");
+	g_assert_cmpuint(account->priority, ==, BF_ACCOUNT_PRIORITY_DEFAULT);
+	g_assert_nonnull(bf_account_directory_find(accounts, "none"));
+	g_assert_cmpuint(
+	    bf_routing_service(routing, "shop")->warm_up_ms, ==, 2500);
+	g_assert_cmpfloat(
+	    bf_routing_service(routing, "shop")->cold_calls_per_s, ==, 13);
+	g_assert_cmpfloat(
+	    bf_routing_service(routing, "store")->cold_calls_per_s, ==, 0);
+	g_assert_false(
+	    bf_routing_match(routing, "a.example", "/b/")->is_public);
+	g_assert_null(bf_routing_match(routing, "a.example", "/b/")->regions);
+
+	/* The same if its routes are taken over from a former version. */
+	g_assert_cmpint(bf_platform_dialect.decode_config(
+			    text, strlen(text), routing, &copy, &err),
+	    ==, BF_OK);
+	bf_routing_release(routing);
+	route = bf_routing_match(copy, "a.example", "/a/");
+	g_assert_true(route->is_public);
+	g_assert_cmpstr(route->regions[0], ==, "north");
+	g_assert_cmpstr(route->regions[1], ==, "south");
+	g_assert_null(route->regions[2]);
+	g_assert_nonnull(
+	    bf_account_directory_authenticate(bf_routing_accounts(copy), "k1"));
+	bf_routing_release(copy);
+
+	/* An empty list still asks for keys; no list does not. */
+	g_assert_cmpint(decode(ACCOUNTS(""), &routing, &err), ==, BF_OK);
+	g_assert_nonnull(bf_routing_accounts(routing));
+	bf_routing_release(routing);
+	g_assert_cmpint(decode(without, &routing, &err), ==, BF_OK);
+	g_assert_null(bf_routing_accounts(routing));
+	bf_routing_release(routing);
+}
+
+/*
+ * A configuration with a fault in its accounts is refused whole, and the
+ * message, which is logged, holds no key.
+ */
+static void
+test_accounts_refused(void)
+{
+	static const struct {
+		const char *text;
+		bf_code_t code;
+	} cases[] = {
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]},"
+			   "{\"Name\":\"b\",\"ApiKeys\":[\"secret\"]}"),
+		    BF_ERR_CONFLICT },
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[\"secret\"]},"
+			   "{\"Name\":\"a\",\"ApiKeys\":[]}"),
+		    BF_ERR_CONFLICT },
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":\"secret\"}"),
+		    BF_ERR_TYPE },
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[\"secret\",7]}"),
+		    BF_ERR_TYPE },
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[\"secret\"],"
+			   "\"RatePerS\":-1}"),
+		    BF_ERR_RANGE },
+		/* The parser would quote what it finds instead of a comma. */
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[1 \"secret\"]}"),
+		    BF_ERR_PARSE },
+		{ ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[secret]}"),
+		    BF_ERR_PARSE },
+	};
+	bf_routing_t *routing;
+	bf_error_t err;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		g_test_message("case %zu", i);
+		g_assert_cmpint(
+		    decode(cases[i].text, &routing, &err), ==, cases[i].code);
+		g_assert_null(routing);
+		g_assert_null(strstr(err.message, "secret"));
+	}
+}
+
 /* Every truncation of a valid configuration is rejected without a crash. */
 static void
 test_config_cut(void)
@@ -361,6 +480,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/config-refused", test_config_refused);
+	g_test_add_func("/platform/accounts", test_accounts);
+	g_test_add_func("/platform/accounts-refused", test_accounts_refused);
 	g_test_add_func("/platform/config-cut", test_config_cut);
 	g_test_add_func("/platform/order", test_order);
 	g_test_add_func("/platform/outcome", test_outcome);
