Refuse keys while a newer configuration is lacking

Cause: a connected node must refuse a withdrawn key within half of revoke_ms, and a relay with a slow link may send the configuration later.

Change: a node that has known for 25 % of revoke_ms of a configuration that it lacks refuses keys until it has it. The time starts anew for each version, so that a series of changes that arrive in time is no reason.

--- a/freshness/freshness.c
+++ b/freshness/freshness.c
@@ -17,6 +17,12 @@
 #define WATCH_WAIT_SHARE 15
 #define WATCH_WAIT_MAX_US BF_US_PER_S
 #define ROUND_SHARE 10
+/*
+ * A node that lacks a configuration for this long refuses keys.  With the pause
+ * of a relay between two changes (8 %) and a round it makes 43 %, of the half
+ * in which a connected node has to refuse a key.
+ */
+#define OVERTAKEN_SHARE 25
 /*
  * Knowledge that is older is not renewed as usual (15 + 10 and the way of the
  * messages): relays of other zones are asked as well, then any node.
@@ -73,6 +79,26 @@
 	return began_us + wait_us;
 }
 
+static void
+take_lacked(
+    bf_freshness_t *freshness, const bf_reading_t *reading, bf_time_us_t now_us)
+{
+	if (!freshness->is_behind) {
+		freshness->is_behind = true;
+		freshness->behind_version = reading->config_version;
+		freshness->behind_since_us = now_us;
+		freshness->lacked_since_us = now_us;
+		freshness->lacked = *reading;
+		return;
+	}
+	if (reading->as_of_us <= freshness->lacked.as_of_us ||
+	    reading->config_version < freshness->lacked.config_version)
+		return;
+	if (reading->config_version > freshness->lacked.config_version)
+		freshness->lacked_since_us = now_us;
+	freshness->lacked = *reading;
+}
+
 bf_freshness_result_t
 bf_freshness_take(bf_freshness_t *freshness, const bf_reading_t *reading,
     uint64_t own_version, bf_time_us_t now_us)
@@ -83,13 +109,7 @@
 	if (reading->as_of_us > now_us)
 		return BF_FRESHNESS_OLD;
 	if (own_version == 0 || own_version < reading->config_version) {
-		if (!freshness->is_behind) {
-			freshness->is_behind = true;
-			freshness->behind_since_us = now_us;
-			freshness->lacked = *reading;
-		} else if (reading->as_of_us > freshness->lacked.as_of_us) {
-			freshness->lacked = *reading;
-		}
+		take_lacked(freshness, reading, now_us);
 		return BF_FRESHNESS_BEHIND;
 	}
 	if (freshness->is_known &&
@@ -113,8 +133,16 @@
 {
 	bf_reading_t lacked = freshness->lacked;
 
-	if (!freshness->is_behind || own_version < lacked.config_version)
+	if (!freshness->is_behind)
 		return;
+	if (own_version < lacked.config_version) {
+		/* While changes follow each other, each has its own time. */
+		if (own_version >= freshness->behind_version) {
+			freshness->behind_version = lacked.config_version;
+			freshness->behind_since_us = freshness->lacked_since_us;
+		}
+		return;
+	}
 	freshness->is_behind = false;
 	(void)bf_freshness_take(freshness, &lacked, own_version, now_us);
 }
@@ -136,6 +164,14 @@
 	    share_us(freshness->revoke_us, PRESENT_SHARE);
 }
 
+bool
+bf_freshness_is_overtaken(const bf_freshness_t *freshness, bf_time_us_t now_us)
+{
+	return freshness->is_behind &&
+	    now_us - freshness->behind_since_us >
+	    share_us(freshness->revoke_us, OVERTAKEN_SHARE);
+}
+
 uint32_t
 bf_freshness_begin_round(
     bf_freshness_t *freshness, bool is_relay, bf_time_us_t now_us)
--- a/freshness/freshness.h
+++ b/freshness/freshness.h
@@ -46,6 +46,9 @@
 	/* The newest proof of a configuration that this node lacks. */
 	bool is_behind;
 	bf_reading_t lacked;
+	bf_time_us_t lacked_since_us; /* since when that version is known */
+	/* The first version that is lacked still, and since when. */
+	uint64_t behind_version;
 	bf_time_us_t behind_since_us;
 	bf_freshness_ask_t asks[BF_FRESHNESS_ASKS_MAX]; /* a ring */
 	uint32_t next_ask;
@@ -119,6 +122,14 @@
 bool bf_freshness_is_present(
     const bf_freshness_t *freshness, bf_time_us_t now_us);
 
+/*
+ * Whether the node has lacked a configuration for so long that it refuses keys,
+ * although its knowledge is not too old: a key that was withdrawn has to be
+ * refused in half of revoke_us by a node that is connected.
+ */
+bool bf_freshness_is_overtaken(
+    const bf_freshness_t *freshness, bf_time_us_t now_us);
+
 /* Time from one round of questions to the next. */
 bf_time_us_t bf_freshness_round_interval_us(const bf_freshness_t *freshness);
 
--- a/mesh/freshness.c
+++ b/mesh/freshness.c
@@ -56,8 +56,11 @@
 bool
 bf_mesh_keys_are_stale(const bf_mesh_t *mesh, bf_time_us_t boot_us)
 {
+	const bf_freshness_t *state = &mesh->freshness->state;
+
 	return mesh->options.fail_closed && is_tracked(mesh) &&
-	    !bf_freshness_is_present(&mesh->freshness->state, boot_us);
+	    (!bf_freshness_is_present(state, boot_us) ||
+		bf_freshness_is_overtaken(state, boot_us));
 }
 
 bool
--- a/tests/test_freshness.c
+++ b/tests/test_freshness.c
@@ -253,6 +253,7 @@
 	g_assert_cmpint(
 	    bf_freshness_age_us(&freshness, now_us + 500 * MS), ==, 600 * MS);
 	/* It never arrives: the node refuses in time. */
+	g_assert_false(bf_freshness_is_overtaken(&freshness, now_us));
 	now_us += 1000 * MS;
 	while (bf_freshness_is_present(&freshness, now_us)) {
 		number = bf_freshness_ask(&freshness, now_us);
@@ -260,6 +261,36 @@
 		now_us += 100 * MS;
 	}
 	g_assert_cmpint(now_us, <=, START_US + 400 * MS + 4600 * MS);
+	g_assert_true(bf_freshness_is_overtaken(&freshness, now_us));
+}
+
+/*
+ * A connected node refuses keys soon after it learns of a configuration that
+ * it lacks, but not while each of many changes arrives in time.
+ */
+static void
+test_overtaken(void)
+{
+	bf_freshness_t freshness = new_freshness();
+	bf_time_us_t now_us = START_US;
+	uint64_t version;
+
+	for (version = VERSION + 1; version < VERSION + 20; version++) {
+		/* The next version is known before this one arrives. */
+		(void)take(&freshness, now_us, version, now_us);
+		g_assert_false(
+		    bf_freshness_is_overtaken(&freshness, now_us + 600 * MS));
+		now_us += 600 * MS;
+		(void)take(&freshness, now_us, version + 1, now_us);
+		bf_freshness_config_applied(&freshness, version, now_us);
+		g_assert_true(freshness.is_behind);
+	}
+	g_assert_false(bf_freshness_is_overtaken(&freshness, now_us));
+	g_assert_true(
+	    bf_freshness_is_overtaken(&freshness, now_us + 1251 * MS));
+	bf_freshness_config_applied(&freshness, version, now_us + 1300 * MS);
+	g_assert_false(
+	    bf_freshness_is_overtaken(&freshness, now_us + 9000 * MS));
 }
 
 /* The store came back from an old copy: only readings of its new era count. */
@@ -368,6 +399,7 @@
 	g_test_add_func("/freshness/alone", test_alone);
 	g_test_add_func("/freshness/store-silent", test_store_silent);
 	g_test_add_func("/freshness/versions", test_versions);
+	g_test_add_func("/freshness/overtaken", test_overtaken);
 	g_test_add_func("/freshness/era", test_era);
 	g_test_add_func("/freshness/random-chains", test_random_chains);
 	return g_test_run();
--- a/tests/test_mesh_keys.c
+++ b/tests/test_mesh_keys.c
@@ -45,6 +45,24 @@
 	fixture_configure(f->mesh, CONFIG);
 }
 
+/*
+ * Runs the loop until only two nodes of each zone are relays: after a start of
+ * all nodes more of them are for some time.
+ */
+static void
+settle_relays(keys_fixture_t *f)
+{
+	bf_time_us_t until_us = bf_clock_monotonic_us() + 2 * WAIT_US;
+	uint32_t relays = NODES, node;
+
+	while (relays > 4 && bf_clock_monotonic_us() < until_us) {
+		fixture_run(f->mesh, 50 * BF_US_PER_MS);
+		for (node = 0, relays = 0; node < NODES; node++)
+			relays += f->mesh->nodes[node]->relay ? 1 : 0;
+	}
+	g_assert_cmpuint(relays, <=, 4);
+}
+
 /* Guards in every test against a key that is logged. */
 static void
 tear_down(keys_fixture_t *f)
@@ -195,6 +213,7 @@
 	uint32_t node;
 
 	set_up(&f);
+	settle_relays(&f);
 	for (node = 0; node < NODES; node++)
 		g_assert_cmpuint(status_of(&f, node, "key-two"), ==, 200);
 	fixture_put(f.mesh, "ops/config", WITHOUT_KEY_TWO);
@@ -209,6 +228,45 @@
 	tear_down(&f);
 }
 
+/*
+ * The relays cannot send a new configuration for a long time.  The other nodes
+ * learn that there is one, and refuse keys until they have it.
+ */
+static void
+test_slow_push(void)
+{
+	bf_time_us_t until_us;
+	uint32_t node, status, refused = 0;
+	keys_fixture_t f;
+
+	set_up(&f);
+	settle_relays(&f);
+	for (node = 0; node < NODES; node++)
+		f.mesh->nodes[node]->config_send_after_us =
+		    bf_clock_monotonic_us() + 100 * BF_US_PER_S;
+	fixture_put(f.mesh, "ops/config", WITHOUT_KEY_TWO);
+	fixture_run(f.mesh, REVOKE_US * 6 / 10);
+	for (node = 0; node < NODES; node++) {
+		status = status_of(&f, node, "key-two");
+		g_assert_true(status == 401 || status == 503);
+		refused += status == 503 ? 1 : 0;
+		g_assert_true(
+		    bf_mesh_ready(f.mesh->nodes[node]) == (status == 401));
+	}
+	/* Those that are no relays. */
+	g_assert_cmpuint(refused, >, 0);
+	for (node = 0; node < NODES; node++)
+		f.mesh->nodes[node]->config_send_after_us = 0;
+	until_us = bf_clock_monotonic_us() + WAIT_US;
+	for (node = 0; node < NODES; node++) {
+		while (status_of(&f, node, "key-one") != 200 &&
+		    bf_clock_monotonic_us() < until_us)
+			fixture_run(f.mesh, 50 * BF_US_PER_MS);
+		g_assert_cmpuint(status_of(&f, node, "key-one"), ==, 200);
+	}
+	tear_down(&f);
+}
+
 /* A node cut off from the store alone goes on by its peers, also with changes.
  */
 static void
@@ -253,6 +311,7 @@
 	test_call_t call;
 
 	set_up(&f);
+	settle_relays(&f);
 	g_assert_cmpuint(status_of(&f, 0, "key-two"), ==, 200);
 	for (node = 0; node < NODES; node++)
 		fixture_cut_from_store(f.mesh, node);
@@ -368,6 +427,7 @@
 	g_test_add_func("/keys/identified", test_identified);
 	g_test_add_func("/keys/call-of-target", test_call_of_target);
 	g_test_add_func("/keys/withdrawn", test_withdrawn);
+	g_test_add_func("/keys/slow-push", test_slow_push);
 	g_test_add_func("/keys/cut-from-store", test_cut_from_store);
 	g_test_add_func("/keys/store-gone", test_store_gone);
 	g_test_add_func("/keys/restarted", test_restarted);
