Test that the account travels with an offer

Cause: nothing held that the node beside a target learns the account, or that a node of the previous version reads the offer as before.

Change: test_mesh_keys sends a call to a remote target and finds its account there, and reads an offer as the previous version does.

--- a/tests/test_mesh_keys.c
+++ b/tests/test_mesh_keys.c
@@ -178,6 +178,8 @@
 static void
 test_call_of_target(void)
 {
+	const bf_account_directory_t *accounts;
+	const bf_target_call_t *parent;
 	test_call_t outer, inner;
 	keys_fixture_t f;
 	uint32_t i;
@@ -185,6 +187,8 @@
 	set_up(&f);
 	for (i = 0; i < NODES; i++)
 		f.mesh->targets[i].delay_us = 300 * BF_US_PER_MS;
+	/* So that the call goes to another node. */
+	g_assert_cmpint(fixture_heartbeat(f.mesh, 0, "v1", true), ==, BF_OK);
 	fixture_send_with_fields(f.mesh, &outer, 0, "GET", "/read/x", "p1",
 	    TIMEOUT_MS, 0, "Authorization: Bearer key-one\r\n");
 	fixture_run(f.mesh, 100 * BF_US_PER_MS);
@@ -192,6 +196,12 @@
 	for (i = 0; i < NODES && f.mesh->targets[i].run_count == 0; i++)
 		;
 	g_assert_cmpuint(i, <, NODES);
+	g_assert_cmpuint(i, >, 0);
+	parent = bf_target_find_parent(f.mesh->nodes[i], "p1.1");
+	g_assert_nonnull(parent);
+	accounts = bf_routing_accounts(f.mesh->nodes[i]->routing);
+	g_assert_cmpuint(bf_target_call_account_id(parent), ==,
+	    bf_account_directory_find(accounts, "first")->id);
 	inner = send_call(&f, i, "/read/x", "p1.1", "Account: second\r\n");
 	g_assert_cmpuint(inner.status, ==, 200);
 	g_assert_cmpstr(find_run(&f, "p1.1")->account, ==, "");
@@ -204,6 +214,58 @@
 	tear_down(&f);
 }
 
+/*
+ * The account is the last field of an offer.  Guards against a node of the
+ * previous version that takes the value before it, if no reverse transit time
+ * is known, for one: an offer that counts as old is refused.
+ */
+static void
+test_offer_field(void)
+{
+	static const bf_time_us_t transits_us[] = { 0, 1, -1, INT64_C(1) << 61,
+		-(INT64_C(1) << 61) };
+	bf_bytes_t head = { 0 };
+	bf_offer_t offer = { .request_id = "c",
+		.target_id = "t",
+		.route = "r",
+		.head = &head,
+		.account_id = 77 };
+	bf_wire_writer_t writer;
+	bf_wire_reader_t reader;
+	uint64_t reverse;
+	char text[8];
+	size_t bytes, i;
+
+	bf_wire_writer_init(&writer);
+	bf_wire_write_offer(&writer, &offer);
+	bf_wire_reader_init(&reader, writer.buffer.data, writer.buffer.size);
+	for (i = 0; i < 3; i++)
+		bf_wire_read_text(&reader, text, sizeof(text));
+	for (i = 0; i < 4; i++)
+		(void)bf_wire_read_uint(&reader, UINT64_MAX);
+	(void)bf_wire_read_bytes(&reader, 16, &bytes);
+	reverse = bf_wire_read_uint(&reader, UINT64_MAX);
+	for (i = 0; i < G_N_ELEMENTS(transits_us); i++)
+		g_assert_cmpint(transits_us[i] + (bf_time_us_t)reverse, <, 0);
+	g_assert_cmpuint(bf_wire_read_uint(&reader, UINT64_MAX), ==, 77);
+	g_assert_true(bf_wire_reader_done(&reader));
+	g_assert_cmpint(reader.code, ==, BF_OK);
+
+	/* Without an account the offer is as before. */
+	offer.account_id = 0;
+	bf_wire_writer_clear(&writer);
+	bf_wire_write_offer(&writer, &offer);
+	bf_wire_reader_init(&reader, writer.buffer.data, writer.buffer.size);
+	for (i = 0; i < 3; i++)
+		bf_wire_read_text(&reader, text, sizeof(text));
+	for (i = 0; i < 4; i++)
+		(void)bf_wire_read_uint(&reader, UINT64_MAX);
+	(void)bf_wire_read_bytes(&reader, 16, &bytes);
+	g_assert_true(bf_wire_reader_done(&reader));
+	g_assert_cmpint(reader.code, ==, BF_OK);
+	bf_wire_writer_free(&writer);
+}
+
 /* A key that is withdrawn is refused by all nodes in half the time. */
 static void
 test_withdrawn(void)
@@ -426,6 +488,7 @@
 	apr_initialize();
 	g_test_add_func("/keys/identified", test_identified);
 	g_test_add_func("/keys/call-of-target", test_call_of_target);
+	g_test_add_func("/keys/offer-field", test_offer_field);
 	g_test_add_func("/keys/withdrawn", test_withdrawn);
 	g_test_add_func("/keys/slow-push", test_slow_push);
 	g_test_add_func("/keys/cut-from-store", test_cut_from_store);
