--- a/accounts/directory.h
+++ b/accounts/directory.h
@@ -20,6 +20,8 @@
 	uint32_t priority; /* 0 is the most urgent */
 	double rate_per_s; /* usage cap, over all nodes; 0: none */
 	double burst;      /* calls beyond the rate */
+	/* Where its calls may run, NULL-terminated; NULL: anywhere. */
+	const char *const *regions;
 } bf_account_t;
 
 /* Priority of an account that states none: behind all that do. */
@@ -32,7 +34,8 @@
 bf_account_directory_t *bf_account_directory_new(apr_pool_t *pool);
 
 /*
- * Adds a copy of the account; its id is computed from the name.  Fails with
+ * Adds a copy of the account; its id is computed from the name.  Its list of
+ * regions is not copied: it must live as long as the directory.  Fails with
  * BF_ERR_CONFLICT if there is one of that name.
  */
 bf_code_t bf_account_directory_add(bf_account_directory_t *directory,
@@ -53,6 +56,10 @@
 const bf_account_t *bf_account_directory_find(
     const bf_account_directory_t *directory, const char *name);
 
+/* The account with that id; NULL: there is none. */
+const bf_account_t *bf_account_directory_find_id(
+    const bf_account_directory_t *directory, uint64_t id);
+
 /* The account that has the key; NULL: none has. */
 const bf_account_t *bf_account_directory_authenticate(
     const bf_account_directory_t *directory, const char *key);
