Enforce usage caps of accounts at the entry nodes

Cause: an account with a rate could use any number of calls.

Coordinators and the root poll their members with two new kinds of frames, which older nodes ignore. Calls of targets and retries inside the mesh are not counted. Without a window or an account with a rate there are no frames and no effect. The test fixture reads accounts and sends a key.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -53,6 +53,8 @@
 /* A longer body is not sent with the offer; the node requests it in parts. */
 #define BODY_INLINE_BYTES_MAX 8192
 #define CANDIDATES_MAX 512
+/* A call waits for its account's cap at most this part of the time left. */
+#define CAP_WAIT_DIVISOR 4
 
 struct bf_entry_call {
 	bf_mesh_t *mesh;
@@ -62,6 +64,7 @@
 	const char *service;
 	/* Of routing; NULL: none.  Of the parent's call if inner. */
 	const bf_account_t *account;
+	bf_caps_waiter_t cap_waiter;
 	char request_id[BF_REQUEST_ID_BYTES];
 	bf_time_us_t began_us;
 	bf_time_us_t deadline_us;
@@ -97,7 +100,7 @@
 		"draining", "no-target", "expired", "connect", "rejected",
 		"broken", "bad-answer", "timeout", "peer-lost", "no-config",
 		"no-route", "no-place", "memory", "starving", "no-key",
-		"no-parent", "stale-keys" };
+		"no-parent", "stale-keys", "over-cap" };
 
 	return names[cause];
 }
@@ -119,6 +122,7 @@
 	bf_mesh_t *mesh = call->mesh;
 
 	clear_offer(call);
+	bf_caps_leave(mesh->caps, &call->cap_waiter);
 	bf_loop_timer_cancel(mesh->loop, &call->timeout);
 	bf_routing_release(call->routing);
 	bf_bytes_free(&call->head);
@@ -1052,6 +1056,31 @@
 	return false;
 }
 
+/* Offers a call that its account's cap allows, or refuses it. */
+static void
+on_cap_decided(bf_caps_waiter_t *waiter, bool admitted, bf_time_us_t wait_us,
+    bf_time_us_t now_us)
+{
+	bf_entry_call_t *call =
+	    BF_CONTAINER(waiter, bf_entry_call_t, cap_waiter);
+	bf_mesh_t *mesh = call->mesh;
+	bf_retry_budget_t *budget;
+	char field[64] = "";
+
+	if (!admitted) {
+		retry_after_field(mesh, wait_us, field, sizeof(field));
+		log_finished(call, 429, "not-run", BF_CAUSE_OVER_CAP, now_us);
+		finish(call, 429, field, "", 0);
+		return;
+	}
+	budget = find_retry_budget(mesh, call->service);
+	if (budget != NULL && call->parent_is_retry)
+		bf_retry_budget_count_retry(budget, now_us);
+	else if (budget != NULL)
+		bf_retry_budget_count_call(budget, now_us);
+	offer_next(call, now_us);
+}
+
 static void
 on_request(
     bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
@@ -1062,7 +1091,6 @@
 	bf_entry_call_t *call;
 	const bf_target_call_t *parent;
 	bf_identity_t identity;
-	bf_retry_budget_t *budget;
 
 	if (mesh->routing == NULL) {
 		answer_without_call(
@@ -1118,12 +1146,11 @@
 	bf_loop_timer_set(
 	    mesh->loop, &call->timeout, call->deadline_us + ANSWER_GRACE_US);
 	write_head(call);
-	budget = find_retry_budget(mesh, call->service);
-	if (budget != NULL && call->parent_is_retry)
-		bf_retry_budget_count_retry(budget, now_us);
-	else if (budget != NULL)
-		bf_retry_budget_count_call(budget, now_us);
-	offer_next(call, now_us);
+	call->cap_waiter.decided = on_cap_decided;
+	/* The calls of targets are not counted. */
+	bf_caps_admit(mesh->caps, call->inner ? NULL : call->account,
+	    &call->cap_waiter, (call->objective_us - now_us) / CAP_WAIT_DIVISOR,
+	    now_us);
 }
 
 static void
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -9,6 +9,7 @@
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
 #include "mesh/call_queue.h"
+#include "mesh/caps.h"
 #include "mesh/link.h"
 #include "mesh/mesh.h"
 #include "mesh/move_record.h"
@@ -176,6 +177,7 @@
 	BF_CAUSE_NO_KEY,     /* it has no key of an account */
 	BF_CAUSE_NO_PARENT,  /* it has none, and its parent is not known */
 	BF_CAUSE_STALE_KEYS, /* keys may have been withdrawn meanwhile */
+	BF_CAUSE_OVER_CAP,   /* its account has used up its cap */
 	BF_CAUSE_COUNT
 } bf_cause_t;
 
@@ -471,6 +473,8 @@
 	bf_route_throttle_t throttles[BF_ROUTE_THROTTLES_MAX];
 	uint32_t throttle_count;
 
+	bf_caps_t *caps; /* NULL: usage caps are not enforced */
+
 	bf_own_target_t target;
 	bf_tracked_move_t moves[BF_MOVES_MAX];
 	uint32_t move_count;
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -23,7 +23,9 @@
 	BF_FRAME_PROBE,    /* requests the load of the target at once */
 	BF_FRAME_BODY_GET, /* requests a part of the body of an offered call */
 	BF_FRAME_BODY,     /* that part */
-	BF_FRAME_VERSION   /* a version that the sender has confirmed */
+	BF_FRAME_VERSION,  /* a version that the sender has confirmed */
+	BF_FRAME_CAPS_GRANT, /* tokens of usage caps; may poll for a report */
+	BF_FRAME_CAPS_REPORT /* the sender's share, use and needs */
 } bf_frame_kind_t;
 
 /* The name of a kind, for logs; "unknown" for one of a later version. */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -116,6 +116,7 @@
 	bf_wire_writer_init(&mesh->writer);
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
+	mesh->caps = bf_caps_new(mesh, metrics);
 	bf_target_open(mesh);
 	return mesh;
 }
@@ -136,6 +137,7 @@
 		code = bf_roster_open(mesh, now_us, err);
 	if (code != BF_OK)
 		return code;
+	bf_caps_start(mesh->caps, now_us);
 	bf_registry_start(mesh, now_us);
 	bf_config_source_start(mesh, now_us);
 	bf_loop_observe(mesh->loop, on_iteration, mesh);
@@ -153,6 +155,7 @@
 	bf_config_source_stop(mesh);
 	bf_registry_stop(mesh);
 	bf_roster_close(mesh);
+	bf_caps_free(mesh->caps);
 	bf_target_restore_stop(mesh);
 	bf_http_client_reset(&mesh->target.client);
 	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry_timer);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -352,6 +352,9 @@
 	case BF_FRAME_PROBE:
 		send_probe(peer, now_us);
 		break;
+	case BF_FRAME_CAPS_REPORT:
+		bf_caps_receive_report(peer->mesh->caps, peer, &reader, now_us);
+		break;
 	case BF_FRAME_BODY_GET:
 		offset = bf_wire_read_uint(&reader, SIZE_MAX);
 		bytes = bf_wire_read_uint(&reader, SIZE_MAX);
@@ -821,6 +824,10 @@
 	case BF_FRAME_BODY:
 		bf_target_receive_body(mesh, inbound, frame, now_us);
 		break;
+	case BF_FRAME_CAPS_GRANT:
+		bf_caps_receive_grant(
+		    mesh->caps, inbound->peer, frame, &reader, now_us);
+		break;
 	case BF_FRAME_CONFIG_GET:
 		bf_config_source_serve(inbound, &reader, now_us);
 		break;
--- a/observe/events.h
+++ b/observe/events.h
@@ -41,6 +41,7 @@
 	BF_EVENT_FRAME_LATE, /* a frame waited long for its link or its reader
 			      */
 	BF_EVENT_STALL,      /* an iteration of the event loop took long */
+	BF_EVENT_CAPS,       /* this node's part in sharing usage caps */
 	BF_EVENT_KIND_COUNT
 } bf_event_kind_t;
 
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -26,6 +26,9 @@
 	bf_mesh_route_t route;
 	bf_routing_t *routing;
 	char prefix[64];
+	bf_account_directory_t *accounts = NULL;
+	bf_account_t account;
+	char name[64], key[64];
 	bf_code_t code;
 	uint64_t version;
 	int i;
@@ -47,6 +50,20 @@
 		.idle_timeout_ms = 15000 });
 	for (i = 1; lines[i] != NULL; i++) {
 		memset(&route, 0, sizeof(route));
+		account = (bf_account_t){ .name = name };
+		if (sscanf(lines[i], "account %63s %63s %lf %lf", name, key,
+			&account.rate_per_s, &account.burst) == 4) {
+			if (accounts == NULL)
+				accounts = bf_account_directory_new(
+				    bf_routing_pool(routing));
+			g_assert_cmpint(
+			    bf_account_directory_add(accounts, &account, NULL),
+			    ==, BF_OK);
+			g_assert_cmpint(
+			    bf_account_directory_add_key(accounts, key, NULL),
+			    ==, BF_OK);
+			continue;
+		}
 		if (sscanf(lines[i], "%63s %15s %63s %u %u %u %u", prefix, kind,
 			service, &route.timeout_ms, &route.objective_ms,
 			&route.attempts_max, &route.priority) != 7)
@@ -67,6 +84,8 @@
 				.name = route.backends[0].service,
 				.health_path = "/health" });
 	}
+	if (accounts != NULL)
+		bf_routing_set_accounts(routing, accounts);
 	g_strfreev(lines);
 	g_free(text);
 	code = bf_routing_finish(routing, err);
@@ -118,6 +137,9 @@
 	.time_left_ms = "Left-Ms",
 	.expected_target = "For-Target",
 	.caller_service = "From-Service",
+	.account = "Account",
+	.authorization = "Authorization",
+	.authorization_scheme = "Bearer",
 	.not_run = "Not-Run",
 	.target_load = "Load",
 	.target_id = "Target-Id",
@@ -733,6 +755,8 @@
 	    ==, BF_OK);
 }
 
+static const char *const fixture_zones[] = { "a=here", "b=here" };
+
 void
 fixture_start_node(mesh_fixture_t *fixture, uint32_t node)
 {
@@ -755,6 +779,9 @@
 		.retry_share_ppm = 1000000,
 		.retry_burst = 1000,
 		.retry_window_ms = 10000,
+		.zones = fixture_zones,
+		.zone_count = G_N_ELEMENTS(fixture_zones),
+		.cap_window_ms = fixture->cap_window_ms,
 	};
 	if (fixture->has_links) {
 		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
@@ -810,6 +837,13 @@
 
 mesh_fixture_t *
 fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
+{
+	return fixture_new_with_caps(nodes, bytes_per_s, 0);
+}
+
+mesh_fixture_t *
+fixture_new_with_caps(
+    uint32_t nodes, uint64_t bytes_per_s, uint32_t cap_window_ms)
 {
 	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
 	struct sockaddr_in unknown = loopback(0);
@@ -823,6 +857,7 @@
 	fixture->store.revision = 1;
 	fixture->node_count = nodes;
 	fixture->has_links = bytes_per_s != 0;
+	fixture->cap_window_ms = cap_window_ms;
 	for (i = 0; i < nodes; i++) {
 		open_target(fixture, i);
 		if (fixture->has_links) {
@@ -928,6 +963,9 @@
 	    "%s %s HTTP/1.1\r\nHost: mesh.test\r\nCall-Id: %s\r\n"
 	    "Left-Ms: %u\r\nFrom-Service: forged\r\n",
 	    method, path, id, (unsigned int)timeout_ms);
+	if (fixture->key != NULL)
+		bf_bytes_format(
+		    &head, "Authorization: Bearer %s\r\n", fixture->key);
 	if (strcmp(method, "GET") != 0)
 		bf_bytes_format(&head, "Content-Length: %zu\r\n", body_bytes);
 	bf_bytes_add_text(&head, "\r\n");
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -119,6 +119,8 @@
 	bool has_links;
 	soak_proxy_t links[FIXTURE_NODES_MAX]; /* from peers to each node */
 	uint32_t node_count;
+	uint32_t cap_window_ms; /* as in bf_mesh_options_t */
+	const char *key;        /* that callers send; NULL: none */
 	GPtrArray *connections; /* open connections to the targets */
 	bf_timer_t run_timer;
 	bool timed_out;
@@ -148,6 +150,10 @@
 /* The same, with a link of that rate between each node and its peers. */
 mesh_fixture_t *fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s);
 
+/* The same, with usage caps.  bytes_per_s 0: no links. */
+mesh_fixture_t *fixture_new_with_caps(
+    uint32_t nodes, uint64_t bytes_per_s, uint32_t cap_window_ms);
+
 void fixture_free(mesh_fixture_t *fixture);
 
 /* Runs the loop for this time. */
@@ -162,7 +168,8 @@
 /*
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
- * kind service timeout_ms objective_ms attempts priority".
+ * kind service timeout_ms objective_ms attempts priority", or an account:
+ * "account name key rate_per_s burst".
  */
 void fixture_configure(mesh_fixture_t *fixture, const char *text);
 
