--- a/mesh/caps.c
+++ b/mesh/caps.c
@@ -108,14 +108,16 @@
 
 /*
  * Whether this node may use or lend its share of the caps: it has read all
- * nodes from the store, and those that started with it have as well.
+ * nodes from the store, those that started with it have as well, and it knows
+ * the present configuration.
  */
 static bool
 share_is_valid(bf_caps_t *caps, bf_time_us_t boot_us)
 {
 	if (caps->settled_boot_us == 0 && caps->mesh->listed_at_us != 0)
 		caps->settled_boot_us = boot_us + SETTLING_US;
-	return caps->settled_boot_us != 0 && boot_us >= caps->settled_boot_us;
+	return caps->settled_boot_us != 0 && boot_us >= caps->settled_boot_us &&
+	    bf_mesh_knows_present_config(caps->mesh, boot_us);
 }
 
 /* Without a list of zones in the settings, those of the nodes count. */
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -24,6 +24,8 @@
 	BF_FRAME_BODY_GET, /* requests a part of the body of an offered call */
 	BF_FRAME_BODY,     /* that part */
 	BF_FRAME_VERSION,  /* a version that the sender has confirmed */
+	BF_FRAME_FRESHNESS_GET, /* asks for the present configuration */
+	BF_FRAME_FRESHNESS,     /* what it is, and the age of that */
 	BF_FRAME_CAPS_GRANT, /* tokens of usage caps; may poll for a report */
 	BF_FRAME_CAPS_REPORT /* the sender's share, use and needs */
 } bf_frame_kind_t;
--- a/tests/test_mesh_caps.c
+++ b/tests/test_mesh_caps.c
@@ -14,6 +14,7 @@
 
 #define NODES 3
 #define WINDOW_MS 5000
+#define KEY "Authorization: Bearer k1\r\n"
 #define TIMEOUT_MS 800
 #define CALLS_MAX 600
 /* Until shares are valid, and the pools have tokens. */
@@ -50,8 +51,8 @@
 		while (bf_clock_monotonic_us() < next_us)
 			fixture_run(fixture, next_us - bf_clock_monotonic_us());
 		(void)snprintf(id, sizeof(id), "c%u", ++serial);
-		fixture_send(fixture, &calls[i], first + i % nodes, "GET",
-		    "/read/x", id, TIMEOUT_MS, 0);
+		fixture_send_with_fields(fixture, &calls[i], first + i % nodes,
+		    "GET", "/read/x", id, TIMEOUT_MS, 0, KEY);
 	}
 	counts.sent = i;
 	g_assert_true(
@@ -105,11 +106,10 @@
 static void
 test_cap_over_nodes(void)
 {
-	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, 0, WINDOW_MS);
+	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, WINDOW_MS);
 	counts_t counts;
 
-	fixture->key = "k1";
-	fixture_configure(fixture, "5\n" ROUTES "account one k1 30 10\n");
+	fixture_configure(fixture, "5\n" ROUTES "account one k1 30/10\n");
 	fixture_run(fixture, WARM_UP_US);
 	counts = send_calls(fixture, 0, NODES, 90, 4 * BF_US_PER_S);
 	g_assert_cmpuint(counts.others, ==, 0);
@@ -123,14 +123,13 @@
 static void
 test_cap_at_one_node(void)
 {
-	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, 0, WINDOW_MS);
+	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, WINDOW_MS);
 	counts_t counts;
 	uint32_t node;
 
-	fixture->key = "k1";
 	fixture_configure(fixture,
-	    "5\n" ROUTES "account one k1 40 20\n"
-	    "account two k2 0 0\n");
+	    "5\n" ROUTES "account one k1 40/20\n"
+	    "account two k2 0/0\n");
 	fixture_run(fixture, WARM_UP_US);
 	for (node = 0; node < NODES; node++) {
 		counts = send_calls(fixture, node, 1, 30, 3 * BF_US_PER_S / 2);
@@ -149,11 +148,10 @@
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(windows_ms); i++) {
-		fixture = fixture_new_with_caps(NODES, 0, windows_ms[i]);
-		fixture->key = "k1";
+		fixture = fixture_new_with_caps(NODES, windows_ms[i]);
 		fixture_configure(fixture,
-		    windows_ms[i] == 0 ? "5\n" ROUTES "account one k1 1 1\n"
-				       : "5\n" ROUTES "account one k1 0 0\n");
+		    windows_ms[i] == 0 ? "5\n" ROUTES "account one k1 1/1\n"
+				       : "5\n" ROUTES "account one k1 0/0\n");
 		counts = send_calls(fixture, 0, NODES, 60, 3 * BF_US_PER_S / 2);
 		g_assert_cmpuint(counts.served, ==, counts.sent);
 		g_assert_cmpuint(count_frames(fixture), ==, 0);
@@ -168,26 +166,25 @@
 static void
 test_caller_leaves(void)
 {
-	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, 0, WINDOW_MS);
+	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, WINDOW_MS);
 	test_call_t calls[20];
 	counts_t counts;
 	char id[24];
 	uint32_t i;
 
-	fixture->key = "k1";
-	fixture_configure(fixture, "5\n" ROUTES "account one k1 100 5\n");
+	fixture_configure(fixture, "5\n" ROUTES "account one k1 100/5\n");
 	fixture_run(fixture, WARM_UP_US);
 	for (i = 0; i < G_N_ELEMENTS(calls); i++) {
 		(void)snprintf(id, sizeof(id), "left%u", i);
-		fixture_send(
-		    fixture, &calls[i], 1, "GET", "/read/x", id, TIMEOUT_MS, 0);
+		fixture_send_with_fields(fixture, &calls[i], 1, "GET",
+		    "/read/x", id, TIMEOUT_MS, 0, KEY);
 	}
 	fixture_run(fixture, BF_US_PER_MS);
 	for (i = 0; i < G_N_ELEMENTS(calls); i++)
 		bf_http_cancel(&calls[i].exchange);
 	fixture_run(fixture, BF_US_PER_S);
 	g_assert_cmpuint(fixture->nodes[1]->entry_call_count, ==, 0);
-	fixture_configure(fixture, "6\n" ROUTES "account one k1 10 2\n");
+	fixture_configure(fixture, "6\n" ROUTES "account one k1 10/2\n");
 	fixture_run(fixture, BF_US_PER_S);
 	counts = send_calls(fixture, 0, NODES, 60, 4 * BF_US_PER_S);
 	g_assert_cmpuint(counts.others, ==, 0);
@@ -200,12 +197,11 @@
 static void
 test_restart(void)
 {
-	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, 0, WINDOW_MS);
+	mesh_fixture_t *fixture = fixture_new_with_caps(NODES, WINDOW_MS);
 	counts_t before, after;
 	uint32_t i;
 
-	fixture->key = "k1";
-	fixture_configure(fixture, "5\n" ROUTES "account one k1 30 10\n");
+	fixture_configure(fixture, "5\n" ROUTES "account one k1 30/10\n");
 	fixture_run(fixture, WARM_UP_US);
 	before = send_calls(fixture, 0, NODES, 90, 3 * BF_US_PER_S / 2);
 	for (i = 0; i < NODES; i++) {
--- a/tests/test_usage_caps.c
+++ b/tests/test_usage_caps.c
@@ -757,6 +757,8 @@
 {
 	if (strcmp(kind, "zone") == 0)
 		return mesh->nodes[index].zone == 0 ? 1 : 0;
+	if (strcmp(kind, "all") == 0)
+		return index + 1;
 	if (strcmp(kind, "nodes") == 0)
 		return index % 18 == 0 ? index + 1 : 0;
 	return index % 8 < 4 ? 1 : 0;
@@ -1059,6 +1061,7 @@
 	g_test_add_data_func("/usage_caps/divided/zone", "zone", divided);
 	g_test_add_data_func("/usage_caps/divided/nodes", "nodes", divided);
 	g_test_add_data_func("/usage_caps/divided/half", "half", divided);
+	g_test_add_data_func("/usage_caps/divided/all", "all", divided);
 	g_test_add_func("/usage_caps/losses", losses);
 	g_test_add_func("/usage_caps/restart_of_all", restart_of_all);
 	g_test_add_func("/usage_caps/lower_cap", lower_cap);
