Serve a node that has no share yet with tokens

Cause: a node that had just started has no share for at least 1.5 s, and took an empty lease for no lease: it refused calls below the cap instead of asking for tokens.

Change: a member that answers a poll counts as served for 1 s, also without a share.

--- a/tests/test_usage_caps.c
+++ b/tests/test_usage_caps.c
@@ -735,6 +735,34 @@
 	mesh_free(mesh);
 }
 
+/*
+ * A node that has just started has no share yet, but gets tokens: its callers
+ * are below the cap.
+ */
+static void
+restarted_node(void)
+{
+	mesh_t *mesh = mesh_new(72, 4, 600);
+	guint before;
+
+	mesh->entry_node[5] = 37;
+	run(mesh, 6 * BF_US_PER_S);
+	restart_node(mesh, 37);
+	run(mesh, 300 * BF_US_PER_MS);
+	before = mesh->admitted[5]->len;
+	mesh->count_from_us = mesh->now_us;
+	memset(mesh->calls, 0, sizeof(mesh->calls));
+	memset(mesh->refused, 0, sizeof(mesh->refused));
+	run(mesh, BF_US_PER_S);
+	g_test_message("%u of %" G_GUINT64_FORMAT,
+	    mesh->admitted[5]->len - before, mesh->calls[5]);
+	g_assert_cmpuint(mesh->refused[5], ==, 0);
+	g_assert_cmpfloat(
+	    mesh->admitted[5]->len - before, >=, 0.9 * (double)mesh->calls[5]);
+	check_bound(mesh, 0);
+	mesh_free(mesh);
+}
+
 static void
 moving_callers(void)
 {
@@ -1057,6 +1085,7 @@
 		g_test_add_data_func(name, GSIZE_TO_POINTER(i), flood);
 	}
 	g_test_add_func("/usage_caps/one_node", one_node);
+	g_test_add_func("/usage_caps/restarted_node", restarted_node);
 	g_test_add_func("/usage_caps/moving_callers", moving_callers);
 	g_test_add_data_func("/usage_caps/divided/zone", "zone", divided);
 	g_test_add_data_func("/usage_caps/divided/nodes", "nodes", divided);
--- a/usage_caps/member.c
+++ b/usage_caps/member.c
@@ -232,7 +232,7 @@
 bf_caps_member_answer(bf_caps_member_t *member, uint64_t holder,
     bf_time_us_t poll_stamp_us, bf_caps_report_t *report, bf_time_us_t now_us)
 {
-	bf_time_us_t until_us;
+	bf_time_us_t until_us, lent_us;
 
 	report->answers_poll = true;
 	report->stamp_us = now_us;
@@ -245,14 +245,15 @@
 	bf_caps_pool_settle(&member->pool, now_us);
 	report->share = bf_caps_pool_share(
 	    &member->pool, now_us + BF_CAPS_LEASE_MIN_US, &until_us);
-	if (report->share > 0) {
-		report->lease_us = until_us - now_us < BF_CAPS_LEASE_US
-		    ? until_us - now_us
-		    : BF_CAPS_LEASE_US;
-		if (member->pool.lent_until_us < now_us + report->lease_us)
-			member->pool.lent_until_us = now_us + report->lease_us;
-		bf_caps_pool_settle(&member->pool, now_us);
-	}
+	lent_us = BF_CAPS_LEASE_US;
+	if (report->share > 0 && until_us - now_us < lent_us)
+		lent_us = until_us - now_us;
+	if (report->share > 0)
+		report->lease_us = lent_us;
+	/* Also a member without a share, as after its start, is served. */
+	if (member->pool.lent_until_us < now_us + lent_us)
+		member->pool.lent_until_us = now_us + lent_us;
+	bf_caps_pool_settle(&member->pool, now_us);
 	member->holder = holder;
 	write_items(member, report, now_us);
 }
--- a/usage_caps/member.h
+++ b/usage_caps/member.h
@@ -65,7 +65,10 @@
 /* The interval of the polls of a holder of that many members. */
 bf_time_us_t bf_caps_poll_interval_us(size_t member_count);
 
-/* Whether the shares are lent to a holder above. */
+/*
+ * Whether a holder above has the shares and serves this member, which may have
+ * none.
+ */
 bool bf_caps_member_is_lent(
     const bf_caps_member_t *member, bf_time_us_t now_us);
 
