--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -19,12 +19,13 @@
 
 /* ---- dialect ---- */
 
-/* Reads a line "account name key..." */
+/* Reads a line "account name key..."; a word "rate/burst" is its cap. */
 static bf_code_t
 decode_account(bf_routing_t *routing, bf_account_directory_t **accounts,
     const char *line, bf_error_t *err)
 {
 	char **words = g_strsplit(line, " ", -1);
+	bf_account_t account = { .name = words[1] };
 	bf_code_t code;
 	size_t i;
 
@@ -32,10 +33,14 @@
 		*accounts = bf_account_directory_new(bf_routing_pool(routing));
 		bf_routing_set_accounts(routing, *accounts);
 	}
-	code = bf_account_directory_add(
-	    *accounts, &(bf_account_t){ .name = words[1] }, err);
+	for (i = 2; words[i] != NULL; i++)
+		(void)sscanf(
+		    words[i], "%lf/%lf", &account.rate_per_s, &account.burst);
+	code = bf_account_directory_add(*accounts, &account, err);
 	for (i = 2; code == BF_OK && words[i] != NULL; i++)
-		code = bf_account_directory_add_key(*accounts, words[i], err);
+		if (strchr(words[i], '/') == NULL)
+			code = bf_account_directory_add_key(
+			    *accounts, words[i], err);
 	g_strfreev(words);
 	return code;
 }
@@ -817,6 +822,8 @@
 	    ==, BF_OK);
 }
 
+static const char *const zones[] = { "a=here", "b=here" };
+
 void
 fixture_start_node(mesh_fixture_t *fixture, uint32_t node)
 {
@@ -841,6 +848,9 @@
 		.retry_window_ms = 10000,
 		.fail_closed = fixture->revoke_ms != 0,
 		.revoke_ms = fixture->revoke_ms,
+		.zones = zones,
+		.zone_count = G_N_ELEMENTS(zones),
+		.cap_window_ms = fixture->cap_window_ms,
 	};
 	if (fixture->has_links) {
 		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
@@ -947,6 +957,16 @@
 	return fixture;
 }
 
+mesh_fixture_t *
+fixture_new_with_caps(uint32_t nodes, uint32_t cap_window_ms)
+{
+	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+
+	fixture->cap_window_ms = cap_window_ms;
+	start_nodes(fixture, nodes, 0);
+	return fixture;
+}
+
 void
 fixture_cut_from_store(mesh_fixture_t *fixture, uint32_t node)
 {
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -117,6 +117,7 @@
 	memory_store_t lost_store; /* of nodes cut off from the store */
 	uint32_t revoke_ms;        /* withdrawn keys fail closed; 0: no */
 	bf_events_t *events;       /* of all nodes, or NULL */
+	uint32_t cap_window_ms;    /* as in bf_mesh_options_t */
 	bf_mesh_t *nodes[FIXTURE_NODES_MAX];
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
@@ -161,6 +162,9 @@
 mesh_fixture_t *fixture_new_with_keys(
     uint32_t nodes, uint32_t revoke_ms, int events_fd);
 
+/* The same without links, with usage caps in that window. */
+mesh_fixture_t *fixture_new_with_caps(uint32_t nodes, uint32_t cap_window_ms);
+
 void fixture_free(mesh_fixture_t *fixture);
 
 /* From now on the store answers no call of this node. */
@@ -185,7 +189,8 @@
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
  * kind service timeout_ms objective_ms attempts priority", and "public" behind
- * that if callers need no key; or an account: "account name key..."
+ * that if callers need no key; or an account: "account name key...", where a
+ * word "rate/burst" is its usage cap.
  */
 void fixture_configure(mesh_fixture_t *fixture, const char *text);
 
