Enforce evacuated zones, cold targets and allowed regions in the mesh

Relays read op/evacuate/ZONE with the operators' keys and send the set with its reading. Entries offer nothing to an evacuated zone or to one outside the allowed regions; the node beside a target refuses offers and all calls that wait there, with the cause that older nodes know. The queue counts the gate of a cold target into the expected wait, and a timer starts calls as it opens. The watcher now tells when a list begins and as of which revision all changes were reported, so that a key that a list lacks counts as removed.

--- a/accounts/directory.h
+++ b/accounts/directory.h
@@ -20,6 +20,11 @@
 	uint32_t priority; /* 0 is the most urgent */
 	double rate_per_s; /* usage cap, over all nodes; 0: none */
 	double burst;      /* calls beyond the rate */
+	/*
+	 * Where its calls may run, NULL-terminated; NULL: anywhere.  Not
+	 * copied: it lives as long as the directory's pool.
+	 */
+	const char *const *regions;
 } bf_account_t;
 
 /* Priority of an account that states none: behind all that do. */
--- a/mesh/call_queue.c
+++ b/mesh/call_queue.c
@@ -57,30 +57,39 @@
 	return a->objective_at_us < b->objective_at_us;
 }
 
+static bf_time_us_t
+run_or_unit_us(const bf_queued_call_t *call, bf_time_us_t unit_us)
+{
+	return unit_us != 0 ? unit_us : call->expected_run_us;
+}
+
 /*
  * Returns the sum of the expected run times of the queued calls that are
- * counted as starting before the new call: those that it does not precede and,
+ * counted as starting before the new call, or unit_us for each of them if it is
+ * not 0.  Those calls are the ones that it does not precede and,
  * unless it is late, on-time calls of lower priority; the times of the latter
  * and of more urgent calls are bounded then.  For a late call the on-time calls
  * of lower priority are left out, although they precede it.
  */
 static double
 work_ahead_us(const bf_call_queue_t *queue, const bf_queued_call_t *call,
-    bf_time_us_t now_us)
+    bf_time_us_t unit_us, bf_time_us_t now_us)
 {
 	double urgent_us = 0, same_us = 0, lower_us = 0, bound_us;
 	const bf_queued_call_t *other;
+	double cost_us;
 
 	TAILQ_FOREACH(other, &queue->list, link)
 	{
+		cost_us = (double)run_or_unit_us(other, unit_us);
 		if (other->priority > call->priority && !is_late(other, now_us))
-			lower_us += (double)other->expected_run_us;
+			lower_us += cost_us;
 		else if (precedes(call, other, now_us))
 			continue;
 		else if (other->priority < call->priority)
-			urgent_us += (double)other->expected_run_us;
+			urgent_us += cost_us;
 		else
-			same_us += (double)other->expected_run_us;
+			same_us += cost_us;
 	}
 	if (is_late(call, now_us))
 		return urgent_us + same_us;
@@ -95,26 +104,61 @@
 	 * priority ahead of it get LOWER_PART * t.  So they have all started
 	 * once t reaches the sum of their run times divided by LOWER_PART.
 	 */
-	bound_us = (double)(call->expected_run_us + same_us) / LOWER_PART;
+	bound_us =
+	    ((double)run_or_unit_us(call, unit_us) + same_us) / LOWER_PART;
 	if (urgent_us > bound_us)
 		urgent_us = bound_us;
 	return urgent_us + same_us + lower_us;
 }
 
-bf_time_us_t
-bf_call_queue_expected_wait_us(const bf_call_queue_t *queue,
-    const bf_queued_call_t *call, bf_time_us_t now_us)
+/* Expected time until the call gets a slot if nothing else limits it. */
+static bf_time_us_t
+slot_wait_us(const bf_call_queue_t *queue, const bf_queued_call_t *call,
+    bf_time_us_t now_us)
 {
 	if (queue->running < queue->slots && queue->count == 0)
 		return 0;
 	if (queue->slots == 0)
 		return (bf_time_us_t)queue->mean_run_us;
+	/* The calls that wait for the gate only leave slots free. */
+	if (queue->gate_opens_at_us != 0 &&
+	    queue->running + queue->count < queue->slots)
+		return 0;
 	/* With all slots busy, one becomes free every mean_run_us / slots. */
-	return (bf_time_us_t)((work_ahead_us(queue, call, now_us) +
+	return (bf_time_us_t)((work_ahead_us(queue, call, 0, now_us) +
 				  queue->mean_run_us) /
 	    queue->slots);
 }
 
+/* Expected time until the gate lets the call start. */
+static bf_time_us_t
+gate_wait_us(const bf_call_queue_t *queue, const bf_queued_call_t *call,
+    bf_time_us_t now_us)
+{
+	double ahead_us, token_us;
+
+	if (queue->gate_opens_at_us == 0)
+		return 0;
+	ahead_us = queue->gate_interval_us != 0
+	    ? work_ahead_us(queue, call, queue->gate_interval_us, now_us)
+	    : 0;
+	token_us = ahead_us +
+	    (1 - queue->gate_tokens) * (double)queue->gate_interval_us;
+	if (token_us < (double)(queue->gate_opens_at_us - now_us))
+		token_us = (double)(queue->gate_opens_at_us - now_us);
+	return token_us > 0 ? (bf_time_us_t)token_us : 0;
+}
+
+bf_time_us_t
+bf_call_queue_expected_wait_us(const bf_call_queue_t *queue,
+    const bf_queued_call_t *call, bf_time_us_t now_us)
+{
+	bf_time_us_t slot_us = slot_wait_us(queue, call, now_us);
+	bf_time_us_t gate_us = gate_wait_us(queue, call, now_us);
+
+	return slot_us > gate_us ? slot_us : gate_us;
+}
+
 /*
  * The latest start that is of use to the caller.  A target does not retry the
  * calls that it makes, so a call made by a target may wait for all of its time.
@@ -153,7 +197,8 @@
 {
 	bf_time_us_t start_at_us;
 
-	if (queue->running < queue->slots && queue->count == 0) {
+	if (queue->running < queue->slots && queue->count == 0 &&
+	    queue->gate_opens_at_us <= now_us) {
 		begin_run(queue, call, now_us);
 		return BF_QUEUE_DECISION_START;
 	}
@@ -196,7 +241,7 @@
 {
 	bf_queued_call_t *best = NULL, *call, *lower;
 
-	if (queue->running >= queue->slots)
+	if (queue->running >= queue->slots || queue->gate_opens_at_us > now_us)
 		return NULL;
 	TAILQ_FOREACH(call, &queue->list, link)
 	{
--- a/mesh/call_queue.h
+++ b/mesh/call_queue.h
@@ -50,6 +50,15 @@
 	double started_at_sum_us;
 	double expected_run_sum_us;
 	double lower_credit_us; /* slot time due to calls of lower priority */
+	/*
+	 * A limit of the rate of starts besides the slots, which the caller
+	 * sets before it calls these functions.  No call starts before
+	 * gate_opens_at_us; then gate_tokens calls may start, and one more
+	 * each gate_interval_us.
+	 */
+	bf_time_us_t gate_opens_at_us; /* 0: there is no limit */
+	bf_time_us_t gate_interval_us;
+	double gate_tokens;
 	struct bf_queued_call_list list;
 } bf_call_queue_t;
 
--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -311,6 +311,7 @@
 	bf_mesh_t *mesh = BF_CONTAINER(watcher, bf_mesh_t, operator_keys);
 	const bf_dialect_t *dialect = mesh->dialect;
 
+	bf_evacuation_read(mesh, item, now_us);
 	if (item->deleted)
 		return;
 	if (strcmp(item->key, dialect->config_key) == 0)
@@ -321,6 +322,24 @@
 		bf_movement_apply_order(mesh, item, now_us);
 }
 
+/* The era of the store that its replies state; it does not state any yet. */
+#define STORE_ERA 0
+
+static void
+on_operator_list(bf_kv_watcher_t *watcher)
+{
+	bf_evacuation_begin_list(
+	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys), STORE_ERA);
+}
+
+static void
+on_operator_reading(
+    bf_kv_watcher_t *watcher, uint64_t revision, bf_time_us_t now_us)
+{
+	bf_evacuation_complete_reading(
+	    BF_CONTAINER(watcher, bf_mesh_t, operator_keys), revision, now_us);
+}
+
 static void
 on_operator_call_done(
     bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us)
@@ -332,6 +351,8 @@
 
 static const bf_kv_watcher_vtable_t operator_keys_vtable = {
 	.on_item = on_operator_item,
+	.on_list_began = on_operator_list,
+	.on_reading = on_operator_reading,
 	.on_call_done = on_operator_call_done,
 };
 
@@ -429,6 +450,7 @@
 	mesh->relay = true;
 	mesh->outcomes_failures = 0;
 	list_outcomes(mesh, now_us);
+	bf_evacuation_send_all(mesh, now_us);
 	bf_event(
 	    mesh->events, BF_EVENT_RELAY, now_us, "s:s", "change", "begins");
 }
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -375,6 +375,7 @@
 		    strcmp(state->service, call->service) != 0 ||
 		    (peer->version_unconfirmed && !filter->allow_unconfirmed) ||
 		    !version_matches(call, state->version, filter) ||
+		    !bf_evacuation_may_offer(mesh, call->route, NULL, peer) ||
 		    was_tried(call, peer))
 			continue;
 		candidates[count] = (bf_candidate_t){
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -38,6 +38,7 @@
 typedef struct bf_peer bf_peer_t;
 typedef struct bf_entry_call bf_entry_call_t;
 typedef struct bf_target_call bf_target_call_t;
+typedef struct bf_evacuation bf_evacuation_t;
 
 /* Load of a target, reported by its node in each reply and periodically. */
 typedef struct bf_load {
@@ -255,6 +256,7 @@
 	/* The target of a restored record, which is not known to be ready. */
 	bool awaits_health;
 	bf_http_exchange_t health_exchange;
+	bf_time_us_t health_sent_us;
 	bf_timer_t health_timer;
 
 	/*
@@ -468,6 +470,7 @@
 	uint32_t throttle_count;
 
 	bf_own_target_t target;
+	bf_evacuation_t *evacuation; /* mesh/evacuate.c */
 	bf_tracked_move_t moves[BF_MOVES_MAX];
 	uint32_t move_count;
 	bf_tracked_version_t versions[BF_VERSIONS_MAX];
@@ -690,6 +693,65 @@
 /* Calls that run or wait at the own target. */
 uint32_t bf_target_call_count(const bf_mesh_t *mesh);
 
+/*
+ * Refuses the calls that wait for a slot, for their body or for their entry,
+ * as not run.
+ */
+void bf_target_refuse_waiting(
+    bf_mesh_t *mesh, bf_cause_t cause, bf_time_us_t now_us);
+/* Starts waiting calls, as many as there are slots and the gate lets. */
+void bf_target_start_waiting(bf_mesh_t *mesh, bf_time_us_t now_us);
+
+/* mesh/evacuate.c: evacuated zones, and the gate of the own target. */
+bf_code_t bf_evacuation_open(
+    bf_mesh_t *mesh, bf_metrics_set_t *metrics, bf_error_t *err);
+void bf_evacuation_close(bf_mesh_t *mesh);
+/*
+ * What the own watch of the operators' keys shows: a list begins, a key, and
+ * that all keys or changes as of the revision were reported.
+ */
+void bf_evacuation_begin_list(bf_mesh_t *mesh, uint64_t era);
+void bf_evacuation_read(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us);
+void bf_evacuation_complete_reading(
+    bf_mesh_t *mesh, uint64_t revision, bf_time_us_t now_us);
+/*
+ * Sends the set to the node that dialled, if this node is a relay and that one
+ * is in the own zone or a relay, or to all such nodes.
+ */
+void bf_evacuation_send(bf_inbound_t *inbound, bf_time_us_t now_us);
+void bf_evacuation_send_all(bf_mesh_t *mesh, bf_time_us_t now_us);
+void bf_evacuation_receive(
+    bf_peer_t *peer, bf_wire_reader_t *reader, bf_time_us_t now_us);
+/* Whether a call may go to the peer's zone.  account: NULL: of none. */
+bool bf_evacuation_may_offer(const bf_mesh_t *mesh,
+    const bf_mesh_route_t *route, const bf_account_t *account,
+    const bf_peer_t *peer);
+/* Whether the own target gets no calls, as its zone is, or may be, evacuated.
+ */
+bool bf_evacuation_holds(const bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Sets the gate of the target's queue to the present state. */
+void bf_evacuation_set_gate(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Starts waiting calls when the gate opens, if it is what they wait for. */
+void bf_evacuation_await_gate(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* A call is sent to the target; the one sent at sent_us did not reach it. */
+void bf_evacuation_call_sent(bf_mesh_t *mesh, bf_time_us_t now_us);
+void bf_evacuation_call_returned(
+    bf_mesh_t *mesh, bf_time_us_t sent_us, bf_time_us_t now_us);
+/* The slots to report for a target that is ready. */
+uint32_t bf_evacuation_slots(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Another process of the target, which states how long it stays cold. */
+void bf_evacuation_begin_lifetime(
+    bf_mesh_t *mesh, bf_time_us_t left_us, bf_time_us_t now_us);
+/* The target's heartbeat was accepted. */
+void bf_evacuation_heartbeat(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* The target counts as cold until it states the contrary. */
+void bf_evacuation_doubt(bf_mesh_t *mesh, const char *why, bf_time_us_t now_us);
+/* Reads how long the target stays cold from its health response. */
+void bf_evacuation_health(bf_mesh_t *mesh, const bf_http_message_t *message,
+    bf_time_us_t sent_us, bf_time_us_t now_us);
+void bf_evacuation_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us);
+
 /* mesh/restore.c: the target that a former process of this node knew. */
 
 /* Restores the target from the last heartbeat that the record holds. */
@@ -697,6 +759,9 @@
     bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us);
 /* Begins the health check of a restored target, once its path is known. */
 void bf_target_check_health(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Sends a health check; false: its path is not known, or no connection. */
+bool bf_target_send_health_check(
+    bf_mesh_t *mesh, bf_http_exchange_t *exchange, bf_time_us_t now_us);
 void bf_target_restore_stop(bf_mesh_t *mesh);
 
 /* Codecs of frames that several source files read or write. */
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -16,7 +16,8 @@
 {
 	static const char *const names[] = { "unknown", "hello", "state",
 		"load", "offer", "cancel", "reply", "config-get", "config",
-		"runs", "move", "probe", "body-get", "body", "version" };
+		"runs", "move", "probe", "body-get", "body", "version",
+		"zones" };
 
 	if ((size_t)kind >= sizeof(names) / sizeof(names[0]))
 		return names[0];
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -23,7 +23,8 @@
 	BF_FRAME_PROBE,    /* requests the load of the target at once */
 	BF_FRAME_BODY_GET, /* requests a part of the body of an offered call */
 	BF_FRAME_BODY,     /* that part */
-	BF_FRAME_VERSION   /* a version that the sender has confirmed */
+	BF_FRAME_VERSION,  /* a version that the sender has confirmed */
+	BF_FRAME_ZONES     /* the zones that are evacuated */
 } bf_frame_kind_t;
 
 /* The name of a kind, for logs; "unknown" for one of a later version. */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -117,6 +117,10 @@
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
 	bf_target_open(mesh);
+	if (bf_evacuation_open(mesh, metrics, err) != BF_OK) {
+		bf_mesh_free(mesh);
+		return NULL;
+	}
 	return mesh;
 }
 
@@ -154,6 +158,7 @@
 	bf_registry_stop(mesh);
 	bf_roster_close(mesh);
 	bf_target_restore_stop(mesh);
+	bf_evacuation_close(mesh);
 	bf_http_client_reset(&mesh->target.client);
 	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry_timer);
 	bf_loop_timer_cancel(mesh->loop, &mesh->stop_timer);
@@ -305,6 +310,7 @@
 	bf_metric_set(m->queue, "running", mesh->target.queue.running);
 	bf_metric_set(m->queue, "waiting", mesh->target.queue.count);
 	bf_metric_set(m->queue, "slots", mesh->target.queue.slots);
+	bf_evacuation_update_gauges(mesh, now_us);
 	bf_metric_set(
 	    m->connections, "callers", mesh->caller_server.conn_count);
 	bf_metric_set(m->connections, "target", mesh->target.client.conn_count);
--- a/mesh/restore.c
+++ b/mesh/restore.c
@@ -37,6 +37,8 @@
 		id = bf_http_find(message, mesh->dialect->target_id);
 		is_healthy = message->status == 200 && id != NULL &&
 		    strcmp(id, target->heartbeat.id) == 0;
+		bf_evacuation_health(
+		    mesh, message, target->health_sent_us, now_us);
 		bf_http_message_free(message);
 	}
 	/* Not if a heartbeat has come meanwhile. */
@@ -56,29 +58,42 @@
 	end_check(target, target->client.loop);
 }
 
-void
-bf_target_check_health(bf_mesh_t *mesh, bf_time_us_t now_us)
+bool
+bf_target_send_health_check(
+    bf_mesh_t *mesh, bf_http_exchange_t *exchange, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
 	const bf_mesh_service_t *service;
 	bf_bytes_t head = { 0 }, body = { 0 };
+	bool sent;
 
-	if (!target->awaits_health || target->health_exchange.conn != NULL ||
-	    mesh->routing == NULL)
-		return;
+	if (mesh->routing == NULL)
+		return false;
 	service = bf_routing_service(mesh->routing, target->heartbeat.service);
 	if (service == NULL || service->health_path == NULL)
-		return;
+		return false;
 	bf_bytes_format(&head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
 	    service->health_path, target->heartbeat.address);
+	sent = bf_http_send(&target->client, exchange, &head, &body, 0, now_us);
+	bf_bytes_free(&head);
+	return sent;
+}
+
+void
+bf_target_check_health(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+
+	if (!target->awaits_health || target->health_exchange.conn != NULL)
+		return;
 	target->health_exchange.done = on_health;
-	if (bf_http_send(&target->client, &target->health_exchange, &head,
-		&body, 0, now_us)) {
+	target->health_sent_us = now_us;
+	if (bf_target_send_health_check(
+		mesh, &target->health_exchange, now_us)) {
 		target->health_timer.fire = on_health_timeout;
 		bf_loop_timer_set(mesh->loop, &target->health_timer,
 		    now_us + HEALTH_TIMEOUT_US);
 	}
-	bf_bytes_free(&head);
 }
 
 void
@@ -93,6 +108,7 @@
 	(void)bf_target_accept(mesh, heartbeat, &accepted, now_us, NULL);
 	if (!accepted)
 		return;
+	bf_evacuation_doubt(mesh, "restored", now_us);
 	if (heartbeat->draining || target->departed) {
 		target->state = BF_TARGET_DRAINING;
 		bf_mesh_report_changes(mesh, now_us);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -195,6 +195,7 @@
 	/* Configurations change often, and all nodes report each of them. */
 	bool changed = !peer->state_known ||
 	    !bf_node_state_same_for_calls(&peer->state, state);
+	bool was_relay = peer->state_known && peer->state.relay;
 
 	peer->state = *state;
 	peer->offers_since_report = 0;
@@ -206,6 +207,8 @@
 		    (int)state->target_state, "stopping", (int)state->stopping,
 		    "config_version", (json_int_t)state->config_version);
 	peer->state_known = true;
+	if (state->relay && !was_relay && peer->inbound != NULL)
+		bf_evacuation_send(peer->inbound, now_us);
 	if (peer->holds_calls)
 		settle_held_calls(peer, now_us);
 	peer->version_unconfirmed = bf_movement_record_version(
@@ -343,6 +346,9 @@
 	case BF_FRAME_VERSION:
 		bf_movement_receive_confirmed(peer->mesh, &reader, now_us);
 		break;
+	case BF_FRAME_ZONES:
+		bf_evacuation_receive(peer, &reader, now_us);
+		break;
 	case BF_FRAME_PROBE:
 		send_probe(peer, now_us);
 		break;
@@ -668,6 +674,7 @@
 		bf_movement_send_versions(mesh, &inbound->link, now_us);
 	else
 		bf_movement_send_all(mesh, &inbound->link, now_us);
+	bf_evacuation_send(inbound, now_us);
 }
 
 /*
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -134,9 +134,9 @@
 	return (bf_load_t){
 		.running = target->queue.running,
 		.waiting = target->queue.count + target->pulls.count,
-		.slots =
-		    target->state == BF_TARGET_READY ? target->queue.slots : 0,
-
+		.slots = target->state == BF_TARGET_READY
+		    ? bf_evacuation_slots(mesh, now_us)
+		    : 0,
 		.mean_us = (uint32_t)bf_call_queue_current_run_us(
 		    &target->queue, now_us),
 		.failing_ppm = share < FAILURE_SHARE_MIN
@@ -269,10 +269,11 @@
 		.result = BF_CALL_RESULT_NOT_RUN,
 		.cause = cause,
 		.waited_us = now_us - call->arrived_us,
-		.expected_wait_us = bf_call_queue_expected_wait_us(
-		    &mesh->target.queue, &call->queued, now_us),
 	};
 
+	bf_evacuation_set_gate(mesh, now_us);
+	reply.expected_wait_us = bf_call_queue_expected_wait_us(
+	    &mesh->target.queue, &call->queued, now_us);
 	bf_metric_count(mesh->metrics.runs, bf_cause_name(cause), 1);
 	if (reply.waited_us > 0 ||
 	    bf_events_sampled(mesh->events, call->request_id))
@@ -477,6 +478,39 @@
 	return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+static void
+refuse_queued(bf_mesh_t *mesh, bf_cause_t cause, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+	bf_queued_call_t *queued;
+	bf_body_pull_t *pull;
+
+	while ((queued = TAILQ_FIRST(&target->queue.list)) != NULL) {
+		bf_call_queue_remove(&target->queue, queued);
+		refuse((bf_target_call_t *)(void *)queued, cause, now_us);
+	}
+	while ((pull = TAILQ_FIRST(&target->pulls.list)) != NULL)
+		refuse(
+		    BF_CONTAINER(pull, bf_target_call_t, pull), cause, now_us);
+}
+
+void
+bf_target_refuse_waiting(bf_mesh_t *mesh, bf_cause_t cause, bf_time_us_t now_us)
+{
+	bf_target_call_t *call, *next;
+	bf_inbound_t *inbound;
+
+	refuse_queued(mesh, cause, now_us);
+	for (inbound = mesh->inbound; inbound != NULL;
+	     inbound = inbound->next) {
+		for (call = inbound->calls; call != NULL; call = next) {
+			next = call->next;
+			if (call->confirming)
+				return_not_run(call, cause, now_us);
+		}
+	}
+}
+
 /*
  * Marks the target as absent until its next heartbeat, and refuses the calls in
  * its queue.
@@ -485,22 +519,13 @@
 mark_target_absent(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
-	bf_queued_call_t *queued;
-	bf_body_pull_t *pull;
 
 	if (target->state == BF_TARGET_ABSENT)
 		return;
 	target->state = BF_TARGET_ABSENT;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
 	    target->heartbeat.id, "change", change);
-	while ((queued = TAILQ_FIRST(&target->queue.list)) != NULL) {
-		bf_call_queue_remove(&target->queue, queued);
-		refuse((bf_target_call_t *)(void *)queued, BF_CAUSE_NO_TARGET,
-		    now_us);
-	}
-	while ((pull = TAILQ_FIRST(&target->pulls.list)) != NULL)
-		refuse(BF_CONTAINER(pull, bf_target_call_t, pull),
-		    BF_CAUSE_NO_TARGET, now_us);
+	refuse_queued(mesh, BF_CAUSE_NO_TARGET, now_us);
 	bf_mesh_report_changes(mesh, now_us);
 }
 
@@ -519,6 +544,7 @@
 		update_failure_share(&mesh->target, true, now_us);
 		return_not_run(call, BF_CAUSE_REJECTED, now_us);
 	} else if (message->status == 421) {
+		bf_evacuation_call_returned(mesh, call->sent_us, now_us);
 		return_not_run(call, BF_CAUSE_NO_TARGET, now_us);
 		mark_target_absent(mesh, "another one has its address", now_us);
 	} else if (!call->repeatable && promises_not_run(message->status)) {
@@ -603,6 +629,7 @@
 		return_not_run(call, BF_CAUSE_CONNECT, now_us);
 		return;
 	}
+	bf_evacuation_call_sent(mesh, now_us);
 	bf_loop_timer_set(mesh->loop, &call->timeout,
 	    call->queued.deadline_at_us + ANSWER_GRACE_US);
 }
@@ -634,13 +661,14 @@
 	bf_mesh_link_send(&from->link, BF_FRAME_PROBE, 0, NULL, NULL, now_us);
 }
 
-/* Sends the next waiting call if a slot is free. */
+/* Sends the next waiting call if a slot is free and the gate is open. */
 static void
 send_next(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_queued_call_t *queued;
 	bf_target_call_t *call;
 
+	bf_evacuation_await_gate(mesh, now_us);
 	queued = bf_call_queue_start_next(&mesh->target.queue, now_us);
 	if (queued == NULL)
 		return;
@@ -651,17 +679,35 @@
 		send_call(call, now_us);
 }
 
+void
+bf_target_start_waiting(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_call_queue_t *queue = &mesh->target.queue;
+	uint32_t count;
+
+	do {
+		count = queue->count;
+		send_next(mesh, now_us);
+	} while (queue->count < count);
+}
+
 void
 bf_target_heard(bf_inbound_t *from, bf_time_us_t now_us)
 {
 	bf_target_call_t *call = from->calls;
+	bf_mesh_t *mesh = from->mesh;
 
 	while (call != NULL) {
 		if (!call->confirming || needs_confirmation(call, now_us)) {
 			call = call->next;
 			continue;
 		}
-		send_call(call, now_us);
+		/* Others were started by the gate meanwhile. */
+		bf_evacuation_set_gate(mesh, now_us);
+		if (mesh->target.queue.gate_opens_at_us > now_us)
+			return_not_run(call, BF_CAUSE_BUSY, now_us);
+		else
+			send_call(call, now_us);
 		call = from->calls; /* the call may be freed */
 	}
 }
@@ -757,7 +803,8 @@
 	if (target->state == BF_TARGET_ABSENT ||
 	    strcmp(target->heartbeat.id, call->target) != 0)
 		return BF_CAUSE_NO_TARGET;
-	if (target->state != BF_TARGET_READY)
+	if (target->state != BF_TARGET_READY ||
+	    bf_evacuation_holds(mesh, now_us))
 		return BF_CAUSE_DRAINING;
 	/* It could outlast this process, and be cut off at its target. */
 	if (mesh->stopping &&
@@ -774,6 +821,7 @@
 {
 	bf_mesh_t *mesh = call->mesh;
 
+	bf_evacuation_set_gate(mesh, now_us);
 	switch (bf_call_queue_admit(
 	    &mesh->target.queue, &call->queued, refuse_if_late, now_us)) {
 	case BF_QUEUE_DECISION_REFUSE:
@@ -782,6 +830,7 @@
 	case BF_QUEUE_DECISION_WAIT:
 		call->waiting = true;
 		start_expiry_timer(mesh, now_us);
+		bf_evacuation_await_gate(mesh, now_us);
 		break;
 	case BF_QUEUE_DECISION_START:
 		send_call(call, now_us);
@@ -1003,10 +1052,13 @@
 }
 
 static void
-begin_lifetime(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat)
+begin_lifetime(
+    bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
 
+	bf_evacuation_begin_lifetime(
+	    mesh, heartbeat->warm_up_remaining_ms * BF_US_PER_MS, now_us);
 	bf_http_client_reset(&target->client);
 	target->departed = false;
 	target->failure_share = 0;
@@ -1086,7 +1138,7 @@
 	if (!*accepted)
 		return code;
 	if (!is_same_lifetime(&target->heartbeat, heartbeat))
-		begin_lifetime(mesh, heartbeat);
+		begin_lifetime(mesh, heartbeat, now_us);
 	(void)bf_address_parse(
 	    heartbeat->address, &target->client.address, NULL);
 	target->heartbeat = *heartbeat;
@@ -1139,6 +1191,7 @@
 	if (!accepted)
 		return code;
 	target->awaits_health = false;
+	bf_evacuation_heartbeat(mesh, now_us);
 	state = heartbeat->draining || target->departed ? BF_TARGET_DRAINING
 							: BF_TARGET_READY;
 	if (state == target->state)
--- a/observe/events.c
+++ b/observe/events.c
@@ -53,6 +53,8 @@
 	[BF_EVENT_UNCLAIMED] = { "unclaimed", 20 },
 	[BF_EVENT_FRAME_LATE] = { "frame-late", 10 },
 	[BF_EVENT_STALL] = { "stall", 10 },
+	[BF_EVENT_EVACUATION] = { "evacuation", 20 },
+	[BF_EVENT_COLD] = { "cold", 20 },
 };
 
 typedef struct bf_event_rate {
--- a/observe/events.h
+++ b/observe/events.h
@@ -41,6 +41,8 @@
 	BF_EVENT_FRAME_LATE, /* a frame waited long for its link or its reader
 			      */
 	BF_EVENT_STALL,      /* an iteration of the event loop took long */
+	BF_EVENT_EVACUATION, /* the set of evacuated zones changed */
+	BF_EVENT_COLD,       /* the own target became cold or warm */
 	BF_EVENT_KIND_COUNT
 } bf_event_kind_t;
 
--- a/store/kv_watcher.c
+++ b/store/kv_watcher.c
@@ -49,6 +49,15 @@
 	watcher->list_again = false;
 	watcher->list_revision = 0;
 	watcher->after_key[0] = '\0';
+	if (watcher->vtable->on_list_began != NULL)
+		watcher->vtable->on_list_began(watcher);
+}
+
+static void
+report_reading(bf_kv_watcher_t *watcher, bf_time_us_t now_us)
+{
+	if (watcher->vtable->on_reading != NULL)
+		watcher->vtable->on_reading(watcher, watcher->revision, now_us);
 }
 
 static void
@@ -68,6 +77,7 @@
 	}
 	watcher->is_listing = false;
 	watcher->revision = watcher->list_revision;
+	report_reading(watcher, now_us);
 	if (watcher->vtable->on_list_done != NULL)
 		watcher->vtable->on_list_done(
 		    watcher, watcher->list_began_us, now_us);
@@ -83,10 +93,13 @@
 
 	for (i = 0; i < reply->item_count; i++)
 		watcher->vtable->on_item(watcher, &reply->items[i], now_us);
-	if (watcher->is_listing)
+	if (watcher->is_listing) {
 		finish_page(watcher, reply, now_us);
-	else if (reply->revision > watcher->revision)
+		return;
+	}
+	if (reply->revision > watcher->revision)
 		watcher->revision = reply->revision;
+	report_reading(watcher, now_us);
 }
 
 static void
--- a/store/kv_watcher.h
+++ b/store/kv_watcher.h
@@ -17,9 +17,17 @@
 typedef struct bf_kv_watcher_vtable {
 	void (*on_item)(bf_kv_watcher_t *watcher, const bf_kv_item_t *item,
 	    bf_time_us_t now_us);
+	/* A list begins, also one that replaces another; may be NULL. */
+	void (*on_list_began)(bf_kv_watcher_t *watcher);
 	/* A list that began at began_us is complete; may be NULL. */
 	void (*on_list_done)(bf_kv_watcher_t *watcher, bf_time_us_t began_us,
 	    bf_time_us_t now_us);
+	/*
+	 * All keys, or all changes, as of this revision have been reported: a
+	 * list is complete, or a watch has returned; may be NULL.
+	 */
+	void (*on_reading)(
+	    bf_kv_watcher_t *watcher, uint64_t revision, bf_time_us_t now_us);
 	/* A call to the store ended with that code; may be NULL. */
 	void (*on_call_done)(
 	    bf_kv_watcher_t *watcher, bf_code_t code, bf_time_us_t now_us);
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -23,6 +23,10 @@
     bf_routing_t **out, bf_error_t *err)
 {
 	char *text = g_strndup(data, bytes), **lines, kind[16], service[64];
+	char cold_service[64] = "", region[64];
+	double cold_calls_per_s = 0;
+	const char **regions;
+	int fields;
 	bf_mesh_route_t route;
 	bf_routing_t *routing;
 	char prefix[64];
@@ -47,10 +51,22 @@
 		.idle_timeout_ms = 15000 });
 	for (i = 1; lines[i] != NULL; i++) {
 		memset(&route, 0, sizeof(route));
-		if (sscanf(lines[i], "%63s %15s %63s %u %u %u %u", prefix, kind,
-			service, &route.timeout_ms, &route.objective_ms,
-			&route.attempts_max, &route.priority) != 7)
+		if (sscanf(lines[i], "cold %63s %lf", cold_service,
+			&cold_calls_per_s) == 2)
 			continue;
+		fields =
+		    sscanf(lines[i], "%63s %15s %63s %u %u %u %u %63s", prefix,
+			kind, service, &route.timeout_ms, &route.objective_ms,
+			&route.attempts_max, &route.priority, region);
+		if (fields < 7)
+			continue;
+		if (fields == 8) {
+			regions = apr_pcalloc(
+			    bf_routing_pool(routing), 2 * sizeof(*regions));
+			regions[0] =
+			    apr_pstrdup(bf_routing_pool(routing), region);
+			route.regions = regions;
+		}
 		route.name = apr_pstrdup(bf_routing_pool(routing), prefix);
 		route.prefix = route.name;
 		route.host = "mesh.test";
@@ -65,7 +81,11 @@
 			bf_routing_add_service(routing,
 			    &(bf_mesh_service_t){
 				.name = route.backends[0].service,
-				.health_path = "/health" });
+				.health_path = "/health",
+				.cold_calls_per_s =
+				    strcmp(service, cold_service) == 0
+				    ? cold_calls_per_s
+				    : 0 });
 	}
 	g_strfreev(lines);
 	g_free(text);
@@ -121,11 +141,13 @@
 	.not_run = "Not-Run",
 	.target_load = "Load",
 	.target_id = "Target-Id",
+	.warm_up_ms = "Warm-In-Ms",
 	.operator_prefix = "ops/",
 	.config_key = "ops/config",
 	.order_prefix = "ops/move/",
 	.outcome_prefix = "out/",
 	.member_prefix = "members/",
+	.evacuation_prefix = "ops/evacuate/",
 	.decode_config = decode_config,
 	.decode_order = decode_order,
 	.decode_outcome = decode_outcome,
@@ -137,7 +159,7 @@
 static memory_store_t *
 store_of(bf_kv_t *kv)
 {
-	return (memory_store_t *)(void *)kv;
+	return ((store_access_t *)(void *)kv)->store;
 }
 
 static void
@@ -150,7 +172,7 @@
 	bf_loop_timer_cancel(entry->store->fixture->loop, &entry->timer);
 	entry->call = NULL;
 	call->pending = NULL;
-	if (entry->store->down)
+	if (entry->store->down || entry->access->cut)
 		entry->reply = (bf_kv_reply_t){ .code = BF_ERR_UNAVAILABLE };
 	call->done(call, &entry->reply, now_us);
 }
@@ -175,6 +197,7 @@
 	g_assert_nonnull(entry);
 	memset(entry, 0, sizeof(*entry));
 	entry->store = store;
+	entry->access = (store_access_t *)(void *)kv;
 	entry->call = call;
 	entry->timer.fire = on_call_timer;
 	entry->reply.items = entry->items;
@@ -193,7 +216,8 @@
 		    .data = key->data,
 		    .data_bytes = key->data_bytes,
 		    .revision = key->revision,
-		    .lease = key->lease };
+		    .lease = key->lease,
+		    .deleted = key->deleted };
 }
 
 static void
@@ -217,7 +241,8 @@
 	entry->reply.revision = store->revision;
 	for (i = 0; i < store->key_count; i++) {
 		if (strncmp(store->keys[i].key, prefix, strlen(prefix)) == 0 &&
-		    store->keys[i].revision > after)
+		    store->keys[i].revision > after &&
+		    (entry->is_watch || !store->keys[i].deleted))
 			add_item(entry, &store->keys[i]);
 	}
 }
@@ -247,7 +272,7 @@
 	entry->is_watch = true;
 	entry->after_revision = after_revision;
 	(void)snprintf(entry->prefix, sizeof(entry->prefix), "%s", prefix);
-	if (store_of(kv)->down) {
+	if (store_of(kv)->down || entry->access->cut) {
 		bf_loop_timer_set(store_of(kv)->fixture->loop, &entry->timer,
 		    now_us + STORE_DELAY_US);
 		return;
@@ -306,6 +331,7 @@
 	entry->data[bytes] = '\0';
 	entry->data_bytes = bytes;
 	entry->lease = lease;
+	entry->deleted = false;
 	entry->revision = ++store->revision;
 }
 
@@ -320,7 +346,7 @@
 
 	(void)now_us;
 	store->write_count++;
-	if (store->down)
+	if (store->down || entry->access->cut)
 		return;
 	for (i = 0; i < count; i++) {
 		key = find_key(store, writes[i].key);
@@ -396,6 +422,17 @@
 	reply_to_watches(&fixture->store);
 }
 
+void
+fixture_delete(mesh_fixture_t *fixture, const char *key)
+{
+	store_key_t *entry = find_key(&fixture->store, key);
+
+	g_assert_nonnull(entry);
+	entry->deleted = true;
+	entry->revision = ++fixture->store.revision;
+	reply_to_watches(&fixture->store);
+}
+
 const char *
 fixture_stored(mesh_fixture_t *fixture, const char *key)
 {
@@ -619,8 +656,9 @@
 
 	target->health_checks++;
 	bf_bytes_format(&connection->tcp.out,
-	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\nContent-Length: 0\r\n\r\n",
-	    target->unhealthy ? 503 : 200, target->id);
+	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\nWarm-In-Ms: %u\r\n"
+	    "Content-Length: 0\r\n\r\n",
+	    target->unhealthy ? 503 : 200, target->id, target->warm_up_ms);
 	bf_tcp_schedule_flush(&connection->tcp);
 }
 
@@ -755,6 +793,11 @@
 		.retry_share_ppm = 1000000,
 		.retry_burst = 1000,
 		.retry_window_ms = 10000,
+		.zones = fixture->base.zones,
+		.zone_count = fixture->base.zone_count,
+		.cold_over_ppm = fixture->base.cold_over_ppm,
+		.cold_slack = fixture->base.cold_slack,
+		.evacuate_ms = fixture->base.evacuate_ms,
 	};
 	if (fixture->has_links) {
 		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
@@ -765,7 +808,7 @@
 		    1, fixture->links[node].bytes_per_s * 8 / 1000000);
 	}
 	fixture->nodes[node] = bf_mesh_new(options, &dialect, fixture->loop,
-	    &fixture->store.kv, NULL, fixture->metrics, NULL);
+	    &fixture->accesses[node].kv, NULL, fixture->metrics, NULL);
 	g_assert_nonnull(fixture->nodes[node]);
 	g_assert_cmpint(
 	    bf_mesh_start(fixture->nodes[node], now_us, NULL), ==, BF_OK);
@@ -789,6 +832,7 @@
 	fake_target_t *target = &fixture->targets[node];
 	bf_heartbeat_t heartbeat = { .slots = TARGET_SLOTS,
 		.draining = draining,
+		.warm_up_remaining_ms = target->warm_up_ms,
 		.sequence = ++target->sequence,
 		.start_ms = target->start_ms };
 
@@ -802,14 +846,9 @@
 	    fixture->nodes[node], &heartbeat, bf_clock_monotonic_us(), NULL);
 }
 
-mesh_fixture_t *
-fixture_new(uint32_t nodes)
-{
-	return fixture_new_with_links(nodes, 0);
-}
-
-mesh_fixture_t *
-fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
+static mesh_fixture_t *
+new_fixture(
+    uint32_t nodes, uint64_t bytes_per_s, const bf_mesh_options_t *options)
 {
 	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
 	struct sockaddr_in unknown = loopback(0);
@@ -818,12 +857,16 @@
 	fixture->loop = bf_loop_new(NULL);
 	fixture->connections = g_ptr_array_new();
 	fixture->metrics = bf_metrics_set_new();
-	fixture->store.kv.vtable = &kv_vtable;
+	if (options != NULL)
+		fixture->base = *options;
 	fixture->store.fixture = fixture;
 	fixture->store.revision = 1;
 	fixture->node_count = nodes;
 	fixture->has_links = bytes_per_s != 0;
 	for (i = 0; i < nodes; i++) {
+		fixture->accesses[i] =
+		    (store_access_t){ .kv = { .vtable = &kv_vtable },
+			    .store = &fixture->store };
 		open_target(fixture, i);
 		if (fixture->has_links) {
 			soak_proxy_open(
@@ -840,6 +883,24 @@
 	return fixture;
 }
 
+mesh_fixture_t *
+fixture_new(uint32_t nodes)
+{
+	return new_fixture(nodes, 0, NULL);
+}
+
+mesh_fixture_t *
+fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
+{
+	return new_fixture(nodes, bytes_per_s, NULL);
+}
+
+mesh_fixture_t *
+fixture_new_with_options(uint32_t nodes, const bf_mesh_options_t *options)
+{
+	return new_fixture(nodes, 0, options);
+}
+
 void
 fixture_free(mesh_fixture_t *fixture)
 {
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -60,6 +60,7 @@
 	bf_time_us_t delay_us; /* from a request to the behaviour */
 	bool unhealthy;        /* its health check fails, as when it leaves */
 	uint32_t health_checks;
+	uint32_t warm_up_ms; /* stated in heartbeats and health responses */
 	uint32_t running;
 	uint32_t running_max;
 	uint64_t endless_bytes; /* sent by the endless behaviours */
@@ -75,6 +76,7 @@
 	size_t data_bytes;
 	uint64_t revision;
 	uint64_t lease;
+	bool deleted;
 } store_key_t;
 
 #define STORE_KEYS_MAX 32
@@ -84,6 +86,7 @@
 typedef struct store_call {
 	bf_timer_t timer;
 	struct memory_store *store;
+	struct store_access *access;
 	bf_kv_call_t *call;
 	char prefix[128];
 	uint64_t after_revision;
@@ -93,8 +96,14 @@
 	char absent_keys[STORE_WRITES_MAX][128];
 } store_call_t;
 
-typedef struct memory_store {
+/* What one node calls the store by. */
+typedef struct store_access {
 	bf_kv_t kv; /* first member */
+	struct memory_store *store;
+	bool cut; /* all calls of the node fail */
+} store_access_t;
+
+typedef struct memory_store {
 	struct mesh_fixture *fixture;
 	store_key_t keys[STORE_KEYS_MAX];
 	uint32_t key_count;
@@ -112,6 +121,8 @@
 	bf_loop_t *loop;
 	bf_metrics_set_t *metrics;
 	memory_store_t store;
+	store_access_t accesses[FIXTURE_NODES_MAX];
+	bf_mesh_options_t base; /* of all nodes; see fixture_new_with_options */
 	bf_mesh_t *nodes[FIXTURE_NODES_MAX];
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
@@ -148,6 +159,13 @@
 /* The same, with a link of that rate between each node and its peers. */
 mesh_fixture_t *fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s);
 
+/*
+ * The same as fixture_new, with the zones, the tolerance of cold targets and
+ * the time of evacuations that these options have.
+ */
+mesh_fixture_t *fixture_new_with_options(
+    uint32_t nodes, const bf_mesh_options_t *options);
+
 void fixture_free(mesh_fixture_t *fixture);
 
 /* Runs the loop for this time. */
@@ -156,13 +174,18 @@
 /* Writes a key to the store, as an operator would. */
 void fixture_put(mesh_fixture_t *fixture, const char *key, const char *data);
 
+/* Deletes a key, as an operator would. */
+void fixture_delete(mesh_fixture_t *fixture, const char *key);
+
 /* The value of a key of the store; NULL: the key is absent. */
 const char *fixture_stored(mesh_fixture_t *fixture, const char *key);
 
 /*
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
- * kind service timeout_ms objective_ms attempts priority".
+ * kind service timeout_ms objective_ms attempts priority" and maybe the only
+ * region that is allowed.  A line "cold service calls_per_s" before the routes
+ * of a service limits its cold targets.
  */
 void fixture_configure(mesh_fixture_t *fixture, const char *text);
 
--- a/tests/test_waiting.c
+++ b/tests/test_waiting.c
@@ -319,11 +319,61 @@
 	g_assert_cmpfloat(throttle.refused_share, <, 0.1);
 }
 
+/*
+ * A limit of the rate of starts: a call that it lets start too late is refused
+ * on arrival, the others start when it opens, in the usual order.
+ */
+static void
+test_gate(void)
+{
+	bf_queued_call_t first, second, third, urgent, late, running[4];
+	bf_call_queue_t queue;
+
+	fill_slots(&queue, running, 0);
+	queue.slots = 4;
+	queue.gate_opens_at_us = 60 * MS;
+	queue.gate_interval_us = 80 * MS;
+	queue.gate_tokens = 0.25;
+	first = queued_call(1, 200, 800);
+	second = queued_call(1, 200, 800);
+	third = queued_call(1, 200, 800);
+	urgent = queued_call(0, 200, 800);
+	g_assert_cmpint(
+	    bf_call_queue_expected_wait_us(&queue, &first, 0), ==, 60 * MS);
+	g_assert_cmpint(bf_call_queue_admit(&queue, &first, true, 0), ==,
+	    BF_QUEUE_DECISION_WAIT);
+	g_assert_cmpint(
+	    bf_call_queue_expected_wait_us(&queue, &second, 0), ==, 140 * MS);
+	g_assert_cmpint(bf_call_queue_admit(&queue, &second, true, 0), ==,
+	    BF_QUEUE_DECISION_WAIT);
+	/* Slots are free, but it would start after 220 ms. */
+	g_assert_cmpint(bf_call_queue_admit(&queue, &third, true, 0), ==,
+	    BF_QUEUE_DECISION_REFUSE);
+	/* One that is more urgent waits for fewer. */
+	g_assert_cmpint(
+	    bf_call_queue_expected_wait_us(&queue, &urgent, 0), <, 150 * MS);
+	g_assert_null(bf_call_queue_start_next(&queue, 59 * MS));
+	g_assert_true(bf_call_queue_start_next(&queue, 60 * MS) == &first);
+	/* The slots limit as before: four calls that run, one that waits. */
+	queue.gate_opens_at_us = 60 * MS;
+	queue.gate_tokens = 10;
+	g_assert_true(bf_call_queue_start_next(&queue, 60 * MS) == &second);
+	late = queued_call(1, 2000, 3000);
+	g_assert_cmpint(bf_call_queue_admit(&queue, &late, true, 60 * MS), ==,
+	    BF_QUEUE_DECISION_START);
+	g_assert_cmpint(bf_call_queue_admit(&queue, &third, true, 60 * MS), ==,
+	    BF_QUEUE_DECISION_START);
+	g_assert_cmpint(
+	    bf_call_queue_expected_wait_us(&queue, &urgent, 60 * MS), >, 0);
+	g_assert_null(bf_call_queue_start_next(&queue, 60 * MS));
+}
+
 int
 main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/waiting/order", test_order);
+	g_test_add_func("/waiting/gate", test_gate);
 	g_test_add_func("/waiting/lesser-rank", test_lower_priority);
 	g_test_add_func("/waiting/refused-on-arrival", test_refused_on_arrival);
 	g_test_add_func("/waiting/given-up", test_expired);
--- a/tests/test_warmup.c
+++ b/tests/test_warmup.c
@@ -294,7 +294,11 @@
 	/* A second evacuation begins a new doubt. */
 	bf_coldness_doubt(&coldness, end_us + 2 * BF_US_PER_S);
 	g_assert_true(bf_coldness_is_cold(&coldness, end_us + 9 * BF_US_PER_S));
+	/* The first heartbeat of another process ends it as any other does. */
 	bf_coldness_restart(&coldness, 500 * MS, end_us + 9 * BF_US_PER_S);
+	g_assert_true(bf_coldness_is_cold(&coldness, end_us + 9900 * MS));
+	bf_coldness_state(
+	    &coldness, 500 * MS, end_us + 8800 * MS, end_us + 9 * BF_US_PER_S);
 	g_assert_true(bf_coldness_is_cold(&coldness, end_us + 9400 * MS));
 	g_assert_false(bf_coldness_is_cold(&coldness, end_us + 9500 * MS));
 }
--- a/warmup/coldness.c
+++ b/warmup/coldness.c
@@ -13,7 +13,7 @@
 {
 	bf_time_us_t warm_at_us = now_us + left_us;
 
-	if (coldness->in_doubt && requested_at_us > coldness->doubt_since_us)
+	if (coldness->in_doubt && requested_at_us >= coldness->doubt_since_us)
 		coldness->in_doubt = false;
 	if (requested_at_us > coldness->stated_at_us ||
 	    warm_at_us > coldness->warm_at_us)
@@ -25,8 +25,8 @@
 bf_coldness_restart(
     bf_coldness_t *coldness, bf_time_us_t left_us, bf_time_us_t now_us)
 {
-	*coldness = (bf_coldness_t){ .warm_at_us = now_us + left_us,
-		.stated_at_us = now_us };
+	coldness->warm_at_us = now_us + left_us;
+	coldness->stated_at_us = now_us;
 }
 
 bool
--- a/warmup/coldness.h
+++ b/warmup/coldness.h
@@ -38,7 +38,10 @@
 void bf_coldness_state(bf_coldness_t *coldness, bf_time_us_t left_us,
     bf_time_us_t requested_at_us, bf_time_us_t now_us);
 
-/* Another process of the target states how long it stays cold. */
+/*
+ * Another process of the target states how long it stays cold.  A doubt stays,
+ * as that statement may be older.
+ */
 void bf_coldness_restart(
     bf_coldness_t *coldness, bf_time_us_t left_us, bf_time_us_t now_us);
 
