--- a/mesh/state.c
+++ b/mesh/state.c
@@ -257,9 +257,12 @@
 	}
 	/*
 	 * Relays report a new configuration to other zones at once, as those
-	 * may be cut off from the store.
+	 * may be cut off from the store, and that they are relays, as only
+	 * these are sent the evacuated zones.
 	 */
 	if (!target_same(&state, &mesh->sent_other_zones) ||
+	    (state.relay && !mesh->sent_other_zones.relay &&
+		mesh->options.evacuate_ms > 0) ||
 	    (state.relay &&
 		state.config_version !=
 		    mesh->sent_other_zones.config_version) ||
