Test that a doubt about a cold target and an unknown set hold

Trial breaks showed that test_mesh_evacuate still passed without the doubt after an evacuation or a restore, as the health response came first, and without the hold of a node that knows no set. Targets can now leave the warm-up out of their health response, and the hold is tested by itself.

--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -656,9 +656,12 @@
 
 	target->health_checks++;
 	bf_bytes_format(&connection->tcp.out,
-	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\nWarm-In-Ms: %u\r\n"
-	    "Content-Length: 0\r\n\r\n",
-	    target->unhealthy ? 503 : 200, target->id, target->warm_up_ms);
+	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\n", target->unhealthy ? 503 : 200,
+	    target->id);
+	if (!target->hides_warm_up)
+		bf_bytes_format(&connection->tcp.out, "Warm-In-Ms: %u\r\n",
+		    target->warm_up_ms);
+	bf_bytes_format(&connection->tcp.out, "Content-Length: 0\r\n\r\n");
 	bf_tcp_schedule_flush(&connection->tcp);
 }
 
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -61,6 +61,7 @@
 	bool unhealthy;        /* its health check fails, as when it leaves */
 	uint32_t health_checks;
 	uint32_t warm_up_ms; /* stated in heartbeats and health responses */
+	bool hides_warm_up;  /* its health responses state nothing of it */
 	uint32_t running;
 	uint32_t running_max;
 	uint64_t endless_bytes; /* sent by the endless behaviours */
--- a/tests/test_mesh_evacuate.c
+++ b/tests/test_mesh_evacuate.c
@@ -256,6 +256,35 @@
 	fixture_free(fixture);
 }
 
+/*
+ * A process that knows of no reading gives its target no call, for as long as
+ * an evacuation may take, and without the setting at once.
+ */
+static void
+test_unknown_set(void)
+{
+	mesh_fixture_t *fixture = fixture_new_with_options(1, &with_settings);
+	const bf_mesh_t *mesh;
+
+	fixture->store.down = true;
+	fixture_restart_node(fixture, 0);
+	mesh = fixture->nodes[0];
+	g_assert_true(bf_evacuation_holds(
+	    mesh, mesh->start_us + 5000 * BF_US_PER_MS - 1));
+	g_assert_false(
+	    bf_evacuation_holds(mesh, mesh->start_us + 5000 * BF_US_PER_MS));
+	fixture->store.down = false;
+	fixture_configure(fixture, CONFIG);
+	fixture_run(fixture, BF_US_PER_S);
+	g_assert_false(bf_evacuation_holds(mesh, bf_clock_monotonic_us()));
+	fixture_free(fixture);
+	fixture = fixture_new(1);
+	fixture_restart_node(fixture, 0);
+	g_assert_false(
+	    bf_evacuation_holds(fixture->nodes[0], bf_clock_monotonic_us()));
+	fixture_free(fixture);
+}
+
 /*
  * Without the setting and without any evacuation, nodes send each other no set,
  * so that older ones see the bytes that they always saw; a node that missed the
@@ -398,10 +427,11 @@
 
 /*
  * A target that turns cold after its last heartbeat, while its zone is
- * evacuated, is not taken for warm when the evacuation ends.
+ * evacuated, is not taken for warm when the evacuation ends, whether its health
+ * response says so or says nothing.
  */
 static void
-test_cold_after_evacuation(void)
+check_cold_after_evacuation(bool hides_warm_up)
 {
 	mesh_fixture_t *fixture = new_configured(2, COLD_CONFIG);
 	fake_target_t *target = &fixture->targets[0];
@@ -411,6 +441,7 @@
 	evacuate(fixture, "ops/evacuate/a");
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	target->warm_up_ms = 60000;
+	target->hides_warm_up = hides_warm_up;
 	checks = target->health_checks;
 	/* The only other place is gone, so all calls come here. */
 	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
@@ -424,6 +455,13 @@
 	fixture_free(fixture);
 }
 
+static void
+test_cold_after_evacuation(void)
+{
+	check_cold_after_evacuation(false);
+	check_cold_after_evacuation(true);
+}
+
 /*
  * A node that is started again while its target is cold, and restores it from
  * a record in which it was warm, keeps the bound over both processes.
@@ -440,6 +478,7 @@
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(fixture_heartbeat(fixture, 1, "v1", true), ==, BF_OK);
 	fixture_run(fixture, 1500 * BF_US_PER_MS);
+	target->hides_warm_up = true;
 	(void)send_steadily(fixture, 0, "/pay/x", calls, 40, BF_US_PER_MS);
 	fixture_restart_node(fixture, 0);
 	fixture_run(fixture, SETTLE_US);
@@ -483,6 +522,7 @@
 	g_test_add_func("/evacuate/cut-zone", test_zone_cut_from_the_store);
 	g_test_add_func("/evacuate/deleted-unseen", test_deleted_unseen);
 	g_test_add_func("/evacuate/just-started", test_node_just_started);
+	g_test_add_func("/evacuate/unknown", test_unknown_set);
 	g_test_add_func("/evacuate/without-settings", test_without_settings);
 	g_test_add_func("/cold/target", test_cold_target);
 	g_test_add_func("/cold/expected-wait", test_gate_in_expected_wait);
