--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -50,6 +50,10 @@
     bf_routing_t **out, bf_error_t *err)
 {
 	char *text = g_strndup(data, bytes), **lines, kind[16], service[64];
+	char cold_service[64] = "", region[64];
+	double cold_calls_per_s = 0;
+	const char **regions;
+	int fields;
 	bf_mesh_route_t route;
 	bf_account_directory_t *accounts = NULL;
 	bf_routing_t *routing;
@@ -80,10 +84,22 @@
 			    decode_account(routing, &accounts, lines[i], err);
 			continue;
 		}
-		if (sscanf(lines[i], "%63s %15s %63s %u %u %u %u", prefix, kind,
-			service, &route.timeout_ms, &route.objective_ms,
-			&route.attempts_max, &route.priority) != 7)
+		if (sscanf(lines[i], "cold %63s %lf", cold_service,
+			&cold_calls_per_s) == 2)
 			continue;
+		fields =
+		    sscanf(lines[i], "%63s %15s %63s %u %u %u %u %63s", prefix,
+			kind, service, &route.timeout_ms, &route.objective_ms,
+			&route.attempts_max, &route.priority, region);
+		if (fields < 7)
+			continue;
+		if (fields == 8 && strcmp(region, "public") != 0) {
+			regions = apr_pcalloc(
+			    bf_routing_pool(routing), 2 * sizeof(*regions));
+			regions[0] =
+			    apr_pstrdup(bf_routing_pool(routing), region);
+			route.regions = regions;
+		}
 		route.name = apr_pstrdup(bf_routing_pool(routing), prefix);
 		route.prefix = route.name;
 		route.host = "mesh.test";
@@ -99,7 +115,11 @@
 			bf_routing_add_service(routing,
 			    &(bf_mesh_service_t){
 				.name = route.backends[0].service,
-				.health_path = "/health" });
+				.health_path = "/health",
+				.cold_calls_per_s =
+				    strcmp(service, cold_service) == 0
+				    ? cold_calls_per_s
+				    : 0 });
 	}
 	g_strfreev(lines);
 	g_free(text);
@@ -159,11 +179,13 @@
 	.account = "Account",
 	.authorization = "Authorization",
 	.authorization_scheme = "Bearer",
+	.warm_up_ms = "Warm-In-Ms",
 	.operator_prefix = "ops/",
 	.config_key = "ops/config",
 	.order_prefix = "ops/move/",
 	.outcome_prefix = "out/",
 	.member_prefix = "members/",
+	.evacuation_prefix = "ops/evacuate/",
 	.decode_config = decode_config,
 	.decode_order = decode_order,
 	.decode_outcome = decode_outcome,
@@ -175,7 +197,7 @@
 static memory_store_t *
 store_of(bf_kv_t *kv)
 {
-	return (memory_store_t *)(void *)kv;
+	return ((store_access_t *)(void *)kv)->store;
 }
 
 static void
@@ -188,8 +210,10 @@
 	bf_loop_timer_cancel(entry->store->fixture->loop, &entry->timer);
 	entry->call = NULL;
 	call->pending = NULL;
-	if (entry->store->down)
+	if (entry->store->down || entry->access->cut)
 		entry->reply = (bf_kv_reply_t){ .code = BF_ERR_UNAVAILABLE };
+	else
+		entry->access->kv.era = entry->store->era;
 	call->done(call, &entry->reply, now_us);
 }
 
@@ -213,6 +237,7 @@
 	g_assert_nonnull(entry);
 	memset(entry, 0, sizeof(*entry));
 	entry->store = store;
+	entry->access = (store_access_t *)(void *)kv;
 	entry->call = call;
 	entry->timer.fire = on_call_timer;
 	entry->reply.items = entry->items;
@@ -231,7 +256,8 @@
 		    .data = key->data,
 		    .data_bytes = key->data_bytes,
 		    .revision = key->revision,
-		    .lease = key->lease };
+		    .lease = key->lease,
+		    .deleted = key->deleted };
 }
 
 static void
@@ -255,7 +281,8 @@
 	entry->reply.revision = store->revision;
 	for (i = 0; i < store->key_count; i++) {
 		if (strncmp(store->keys[i].key, prefix, strlen(prefix)) == 0 &&
-		    store->keys[i].revision > after)
+		    store->keys[i].revision > after &&
+		    (entry->is_watch || !store->keys[i].deleted))
 			add_item(entry, &store->keys[i]);
 	}
 }
@@ -285,12 +312,12 @@
 	entry->is_watch = true;
 	entry->after_revision = after_revision;
 	(void)snprintf(entry->prefix, sizeof(entry->prefix), "%s", prefix);
-	if (store_of(kv)->down) {
+	if (store_of(kv)->down || entry->access->cut) {
 		bf_loop_timer_set(store_of(kv)->fixture->loop, &entry->timer,
 		    now_us + STORE_DELAY_US);
 		return;
 	}
-	if (bf_revision_era(after_revision) < kv->era) {
+	if (bf_revision_era(after_revision) < store_of(kv)->era) {
 		entry->reply = (bf_kv_reply_t){ .code = BF_ERR_STALE };
 		bf_loop_timer_set(store_of(kv)->fixture->loop, &entry->timer,
 		    now_us + STORE_DELAY_US);
@@ -351,6 +378,7 @@
 	entry->data[bytes] = '\0';
 	entry->data_bytes = bytes;
 	entry->lease = lease;
+	entry->deleted = false;
 	entry->revision = ++store->revision;
 }
 
@@ -365,7 +393,7 @@
 
 	(void)now_us;
 	store->write_count++;
-	if (store->down)
+	if (store->down || entry->access->cut)
 		return;
 	for (i = 0; i < count; i++) {
 		key = find_key(store, writes[i].key);
@@ -451,7 +479,7 @@
 static uint64_t
 in_present_era(const memory_store_t *store, uint64_t revision)
 {
-	return bf_revision_make(store->kv.era, bf_revision_number(revision));
+	return bf_revision_make(store->era, bf_revision_number(revision));
 }
 
 void
@@ -460,7 +488,7 @@
 	memory_store_t *store = &fixture->store;
 	size_t i;
 
-	store->kv.era++;
+	store->era++;
 	store->key_count = 0;
 	for (i = 0; i < copy->key_count; i++) {
 		/* Leases are lost, and with them what is written under one. */
@@ -480,6 +508,17 @@
 	}
 }
 
+void
+fixture_delete(mesh_fixture_t *fixture, const char *key)
+{
+	store_key_t *entry = find_key(&fixture->store, key);
+
+	g_assert_nonnull(entry);
+	entry->deleted = true;
+	entry->revision = ++fixture->store.revision;
+	reply_to_watches(&fixture->store);
+}
+
 const char *
 fixture_stored(mesh_fixture_t *fixture, const char *key)
 {
@@ -708,8 +747,12 @@
 
 	target->health_checks++;
 	bf_bytes_format(&connection->tcp.out,
-	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\nContent-Length: 0\r\n\r\n",
-	    target->unhealthy ? 503 : 200, target->id);
+	    "HTTP/1.1 %d X\r\nTarget-Id: %s\r\n", target->unhealthy ? 503 : 200,
+	    target->id);
+	if (!target->hides_warm_up)
+		bf_bytes_format(&connection->tcp.out, "Warm-In-Ms: %u\r\n",
+		    target->warm_up_ms);
+	bf_bytes_format(&connection->tcp.out, "Content-Length: 0\r\n\r\n");
 	bf_tcp_schedule_flush(&connection->tcp);
 }
 
@@ -846,11 +889,17 @@
 		.retry_share_ppm = 1000000,
 		.retry_burst = 1000,
 		.retry_window_ms = 10000,
-		.fail_closed = fixture->revoke_ms != 0,
-		.revoke_ms = fixture->revoke_ms,
-		.zones = zones,
-		.zone_count = G_N_ELEMENTS(zones),
-		.cap_window_ms = fixture->cap_window_ms,
+		.fail_closed = fixture->base.fail_closed,
+		.revoke_ms = fixture->base.revoke_ms,
+		.cap_window_ms = fixture->base.cap_window_ms,
+		.zones =
+		    fixture->base.zones != NULL ? fixture->base.zones : zones,
+		.zone_count = fixture->base.zones != NULL
+		    ? fixture->base.zone_count
+		    : G_N_ELEMENTS(zones),
+		.cold_over_ppm = fixture->base.cold_over_ppm,
+		.cold_slack = fixture->base.cold_slack,
+		.evacuate_ms = fixture->base.evacuate_ms,
 	};
 	if (fixture->has_links) {
 		(void)snprintf(advertise, sizeof(advertise), "%s:%u",
@@ -861,7 +910,8 @@
 		    1, fixture->links[node].bytes_per_s * 8 / 1000000);
 	}
 	fixture->nodes[node] = bf_mesh_new(options, &dialect, fixture->loop,
-	    &fixture->store.kv, fixture->events, fixture->metrics, NULL);
+	    &fixture->accesses[node].kv, fixture->events, fixture->metrics,
+	    NULL);
 	g_assert_nonnull(fixture->nodes[node]);
 	g_assert_cmpint(
 	    bf_mesh_start(fixture->nodes[node], now_us, NULL), ==, BF_OK);
@@ -885,6 +935,7 @@
 	fake_target_t *target = &fixture->targets[node];
 	bf_heartbeat_t heartbeat = { .slots = TARGET_SLOTS,
 		.draining = draining,
+		.warm_up_remaining_ms = target->warm_up_ms,
 		.sequence = ++target->sequence,
 		.start_ms = target->start_ms };
 
@@ -898,24 +949,28 @@
 	    fixture->nodes[node], &heartbeat, bf_clock_monotonic_us(), NULL);
 }
 
-static void
-start_nodes(mesh_fixture_t *fixture, uint32_t nodes, uint64_t bytes_per_s)
+static mesh_fixture_t *
+new_fixture(uint32_t nodes, uint64_t bytes_per_s,
+    const bf_mesh_options_t *options, bf_events_t *events)
 {
+	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
 	struct sockaddr_in unknown = loopback(0);
 	uint32_t i;
 
 	fixture->loop = bf_loop_new(NULL);
 	fixture->connections = g_ptr_array_new();
 	fixture->metrics = bf_metrics_set_new();
-	fixture->store.kv.vtable = &kv_vtable;
+	if (options != NULL)
+		fixture->base = *options;
+	fixture->events = events;
 	fixture->store.fixture = fixture;
 	fixture->store.revision = 1;
-	fixture->lost_store.kv.vtable = &kv_vtable;
-	fixture->lost_store.fixture = fixture;
-	fixture->lost_store.down = true;
 	fixture->node_count = nodes;
 	fixture->has_links = bytes_per_s != 0;
 	for (i = 0; i < nodes; i++) {
+		fixture->accesses[i] =
+		    (store_access_t){ .kv = { .vtable = &kv_vtable },
+			    .store = &fixture->store };
 		open_target(fixture, i);
 		if (fixture->has_links) {
 			soak_proxy_open(
@@ -929,55 +984,49 @@
 		g_assert_cmpint(
 		    fixture_heartbeat(fixture, i, "v1", false), ==, BF_OK);
 	fixture_run(fixture, SETTLE_US);
+	return fixture;
 }
 
 mesh_fixture_t *
 fixture_new(uint32_t nodes)
 {
-	return fixture_new_with_links(nodes, 0);
+	return new_fixture(nodes, 0, NULL, NULL);
 }
 
 mesh_fixture_t *
 fixture_new_with_links(uint32_t nodes, uint64_t bytes_per_s)
 {
-	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+	return new_fixture(nodes, bytes_per_s, NULL, NULL);
+}
 
-	start_nodes(fixture, nodes, bytes_per_s);
-	return fixture;
+mesh_fixture_t *
+fixture_new_with_options(uint32_t nodes, const bf_mesh_options_t *options)
+{
+	return new_fixture(nodes, 0, options, NULL);
 }
 
 mesh_fixture_t *
 fixture_new_with_keys(uint32_t nodes, uint32_t revoke_ms, int events_fd)
 {
-	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+	const bf_mesh_options_t options = { .fail_closed = true,
+		.revoke_ms = revoke_ms };
 
-	fixture->revoke_ms = revoke_ms;
-	fixture->events = bf_events_new(events_fd, "fixture", 1);
-	start_nodes(fixture, nodes, 0);
-	return fixture;
+	return new_fixture(
+	    nodes, 0, &options, bf_events_new(events_fd, "fixture", 1));
 }
 
 mesh_fixture_t *
 fixture_new_with_caps(uint32_t nodes, uint32_t cap_window_ms)
 {
-	mesh_fixture_t *fixture = g_malloc0(sizeof(*fixture));
+	const bf_mesh_options_t options = { .cap_window_ms = cap_window_ms };
 
-	fixture->cap_window_ms = cap_window_ms;
-	start_nodes(fixture, nodes, 0);
-	return fixture;
+	return new_fixture(nodes, 0, &options, NULL);
 }
 
 void
 fixture_cut_from_store(mesh_fixture_t *fixture, uint32_t node)
 {
-	bf_mesh_t *mesh = fixture->nodes[node];
-
-	mesh->kv = &fixture->lost_store.kv;
-	if (mesh->operator_keys.vtable == NULL)
-		return;
-	bf_kv_watcher_stop(&mesh->operator_keys);
-	mesh->operator_keys.kv = mesh->kv;
-	bf_kv_watcher_refresh(&mesh->operator_keys, bf_clock_monotonic_us());
+	fixture->accesses[node].cut = true;
 }
 
 void
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -62,6 +62,8 @@
 	bf_time_us_t delay_us; /* from a request to the behaviour */
 	bool unhealthy;        /* its health check fails, as when it leaves */
 	uint32_t health_checks;
+	uint32_t warm_up_ms; /* stated in heartbeats and health responses */
+	bool hides_warm_up;  /* its health responses state nothing of it */
 	uint32_t running;
 	uint32_t running_max;
 	uint64_t endless_bytes; /* sent by the endless behaviours */
@@ -77,6 +79,7 @@
 	size_t data_bytes;
 	uint64_t revision;
 	uint64_t lease;
+	bool deleted;
 } store_key_t;
 
 #define STORE_KEYS_MAX 32
@@ -86,6 +89,7 @@
 typedef struct store_call {
 	bf_timer_t timer;
 	struct memory_store *store;
+	struct store_access *access;
 	bf_kv_call_t *call;
 	char prefix[128];
 	uint64_t after_revision;
@@ -95,12 +99,19 @@
 	char absent_keys[STORE_WRITES_MAX][128];
 } store_call_t;
 
-typedef struct memory_store {
+/* What one node calls the store by. */
+typedef struct store_access {
 	bf_kv_t kv; /* first member */
+	struct memory_store *store;
+	bool cut; /* all calls of the node fail */
+} store_access_t;
+
+typedef struct memory_store {
 	struct mesh_fixture *fixture;
 	store_key_t keys[STORE_KEYS_MAX];
 	uint32_t key_count;
 	uint64_t revision;
+	uint32_t era;            /* see store/revision.h */
 	bool down;               /* all calls fail */
 	bool drop_watch_events;  /* watches report no change */
 	bool stale_lists_empty;  /* stale lists have no keys */
@@ -114,10 +125,9 @@
 	bf_loop_t *loop;
 	bf_metrics_set_t *metrics;
 	memory_store_t store;
-	memory_store_t lost_store; /* of nodes cut off from the store */
-	uint32_t revoke_ms;        /* withdrawn keys fail closed; 0: no */
-	bf_events_t *events;       /* of all nodes, or NULL */
-	uint32_t cap_window_ms;    /* as in bf_mesh_options_t */
+	bf_events_t *events; /* of all nodes, or NULL */
+	store_access_t accesses[FIXTURE_NODES_MAX];
+	bf_mesh_options_t base; /* of all nodes; see fixture_new_with_options */
 	bf_mesh_t *nodes[FIXTURE_NODES_MAX];
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
@@ -165,6 +175,13 @@
 /* The same without links, with usage caps in that window. */
 mesh_fixture_t *fixture_new_with_caps(uint32_t nodes, uint32_t cap_window_ms);
 
+/*
+ * The same as fixture_new, with the zones, the tolerance of cold targets and
+ * the time of evacuations that these options have.
+ */
+mesh_fixture_t *fixture_new_with_options(
+    uint32_t nodes, const bf_mesh_options_t *options);
+
 void fixture_free(mesh_fixture_t *fixture);
 
 /* From now on the store answers no call of this node. */
@@ -182,15 +199,20 @@
 /* Restores the keys and revisions of a copy, in the next era of the store. */
 void fixture_restore_store(mesh_fixture_t *fixture, const memory_store_t *copy);
 
+/* Deletes a key, as an operator would. */
+void fixture_delete(mesh_fixture_t *fixture, const char *key);
+
 /* The value of a key of the store; NULL: the key is absent. */
 const char *fixture_stored(mesh_fixture_t *fixture, const char *key);
 
 /*
  * Writes a configuration and runs the loop for as long as nodes need to put it
  * into force.  Its first line is the version, each other one a route: "prefix
- * kind service timeout_ms objective_ms attempts priority", and "public" behind
- * that if callers need no key; or an account: "account name key...", where a
- * word "rate/burst" is its usage cap.
+ * kind service timeout_ms objective_ms attempts priority", and behind that
+ * "public" if callers need no key, or the only region that is allowed; or an
+ * account: "account name key...", where a word "rate/burst" is its usage cap.
+ * A line "cold service calls_per_s" before the routes of a service limits its
+ * cold targets.
  */
 void fixture_configure(mesh_fixture_t *fixture, const char *text);
 
