Bound the memory of request bodies by the budget

Cause: 24 bodies of 4 MB that stop short took 103 MB on a node with memory_mb = 32.

Change: messages being read, requests that wait, answers to callers and bytes to the target count against bf_mesh_t.memory. Before a connection of a caller is read, the slowest bodies are refused with 503 and Retry-After until there is room; if no body is being read, the bytes are left in the socket and the connection is tried again 20 ms later. A request is freed once it is answered, and its answer is moved, not copied, to an empty output.

--- a/http/client.c
+++ b/http/client.c
@@ -256,6 +256,8 @@
 		return false;
 	bf_http_reader_init(&conn->reader, &reader_vtable, false);
 	conn->reader.single_message = true;
+	conn->reader.budget = client->budget;
+	conn->tcp.out_charge.budget = client->budget;
 	conn->reader.response_to_head = exchange->is_head_request;
 	conn->exchange = exchange;
 	exchange->conn = conn;
--- a/http/client.h
+++ b/http/client.h
@@ -38,6 +38,7 @@
 	/* Idle connections are reused up to this age. */
 	bf_time_us_t idle_timeout_us;
 	uint64_t opened; /* total connections opened */
+	bf_memory_budget_t *budget; /* may be NULL */
 	/*
 	 * Bytes of incomplete response bodies.  One response may have as many
 	 * as are left to held_bytes_max; so the longest ones fail first, with
--- a/http/message.h
+++ b/http/message.h
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "base/bytes.h"
+#include "memory/budget.h"
 
 /*
  * A complete HTTP/1.1 message: its header fields as names and values in the
@@ -31,6 +32,7 @@
 	uint32_t method; /* requests: the http_parser constant */
 	uint32_t status; /* responses */
 	bf_bytes_t body;
+	bf_memory_charge_t charge;
 	bool keep_alive;
 	bool until_close; /* body is delimited by connection close */
 } bf_http_message_t;
@@ -80,7 +82,8 @@
 	uint64_t head_bytes_max;    /* of the head, and of all trailer fields */
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
-	uint32_t interim_count; /* responses of status 1xx */
+	bf_memory_budget_t *budget; /* holds the messages; may be NULL */
+	uint32_t interim_count;     /* responses of status 1xx */
 	bf_http_fault_t fault;
 	bool in_value;         /* the last piece of the head was a value */
 	bool in_trailers;      /* the head is complete */
--- a/http/server.c
+++ b/http/server.c
@@ -7,6 +7,10 @@
 
 /* Interval at which connections are checked for idle and header timeouts. */
 #define SWEEP_US (250 * BF_US_PER_MS)
+/* The same while connections wait for memory, so that they do so briefly. */
+#define SWEEP_PAUSED_US (20 * BF_US_PER_MS)
+/* Sent with a refusal for want of memory: about the time of a large body. */
+#define RETRY_AFTER_FIELD "Retry-After: 1\r\n"
 
 struct bf_http_conn {
 	bf_tcp_t tcp; /* first member */
@@ -23,6 +27,8 @@
 	bf_time_us_t active_us; /* last byte read or answer written */
 	bf_time_us_t idle_timeout_us; /* the longest that has applied */
 	bool reading_ended;           /* further bytes are ignored */
+	bf_memory_body_t body;        /* the request being read */
+	bf_memory_charge_t charge;    /* of the connection itself */
 };
 
 static bf_http_conn_t *
@@ -36,6 +42,7 @@
 {
 	bf_http_message_free(request->message);
 	bf_bytes_free(&request->answer);
+	bf_memory_charge_set(&request->answer_charge, 0);
 	bf_loop_defer_free(request->conn->server->loop, request);
 }
 
@@ -46,6 +53,8 @@
 	bf_http_server_t *server = conn->server;
 	bf_http_request_t *request;
 
+	bf_memory_body_end(&conn->body);
+	bf_memory_charge_set(&conn->charge, 0);
 	bf_tcp_close(&conn->tcp);
 	*conn->previous = conn->next;
 	if (conn->next != NULL)
@@ -61,6 +70,21 @@
 	bf_loop_defer_free(server->loop, conn);
 }
 
+/* Moves an answer to the connection's output; avoids a copy of a large one. */
+static void
+move_answer(bf_http_conn_t *conn, bf_http_request_t *request)
+{
+	bf_bytes_t empty = conn->tcp.out;
+
+	if (bf_tcp_unsent(&conn->tcp) == 0) {
+		conn->tcp.out = request->answer;
+		request->answer = empty;
+		return;
+	}
+	bf_bytes_add(&conn->tcp.out, bf_bytes_data(&request->answer),
+	    bf_bytes_count(&request->answer));
+}
+
 /* Moves the answers that are next in order to the connection's output. */
 static void
 write_answers(bf_http_conn_t *conn)
@@ -69,8 +93,7 @@
 	bool close_after = false;
 
 	while ((request = conn->first) != NULL && request->answered) {
-		bf_bytes_add(&conn->tcp.out, bf_bytes_data(&request->answer),
-		    bf_bytes_count(&request->answer));
+		move_answer(conn, request);
 		close_after = request->close_after;
 		conn->first = request->next;
 		if (conn->first == NULL)
@@ -128,6 +151,10 @@
 		bf_bytes_add(out, body, body_bytes);
 	request->answered = true;
 	request->user = NULL;
+	/* Only the answer is needed from now on. */
+	bf_http_message_free(request->message);
+	request->message = NULL;
+	bf_memory_charge_set(&request->answer_charge, bf_memory_of(out));
 	if (out->failed)
 		request->close_after = true;
 	if (conn->first == request)
@@ -156,6 +183,7 @@
 	request->conn = conn;
 	request->message = message;
 	request->from = conn->from;
+	request->answer_charge.budget = conn->server->budget;
 	request->head_received_at_us = conn->began_us;
 	*conn->last = request;
 	conn->last = &request->next;
@@ -170,6 +198,9 @@
 
 	conn->began_us = conn->now_us;
 	conn->in_head = false;
+	if (conn->server->budget != NULL)
+		bf_memory_body_begin(
+		    conn->server->budget, &conn->body, conn->now_us);
 	expect = bf_http_find(message, "Expect");
 	if (expect != NULL && strcasecmp(expect, "100-continue") == 0 &&
 	    conn->first == NULL)
@@ -182,6 +213,7 @@
 	bf_http_conn_t *conn = BF_CONTAINER(reader, bf_http_conn_t, reader);
 	bf_http_request_t *request;
 
+	bf_memory_body_end(&conn->body);
 	if (conn->reading_ended) {
 		bf_http_message_free(message);
 		return;
@@ -209,11 +241,38 @@
 	bf_http_request_t *request;
 
 	conn->reading_ended = true;
+	bf_memory_body_end(&conn->body);
+	bf_http_reader_clear(&conn->reader);
 	request = add_request(conn, NULL);
 	if (request == NULL)
 		return;
 	request->close_after = true;
-	bf_http_answer(request, status, "", "", 0);
+	bf_http_answer(
+	    request, status, status == 503 ? RETRY_AFTER_FIELD : "", "", 0);
+}
+
+/* Refuses the body being read; nothing of its request was passed on. */
+static void
+refuse_body(bf_memory_body_t *body, bf_time_us_t now_us)
+{
+	(void)now_us;
+	refuse(BF_CONTAINER(body, bf_http_conn_t, body), 503);
+}
+
+static bool
+conn_may_read(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = conn_of(tcp);
+	bf_http_server_t *server = conn->server;
+
+	/* Bytes after a refusal are discarded, so they take no memory. */
+	if (server->budget == NULL || conn->reading_ended ||
+	    bf_memory_budget_make_room(
+		server->budget, BF_TCP_READ_BYTES, now_us))
+		return true;
+	bf_loop_timer_set(
+	    server->loop, &server->sweep, now_us + SWEEP_PAUSED_US);
+	return false;
 }
 
 static void
@@ -237,6 +296,8 @@
 	}
 	conn->reader.head_bytes_max = conn->server->limits.head_bytes;
 	conn->reader.body_bytes_max = conn->server->limits.body_bytes;
+	if (conn->body.budget != NULL)
+		bf_memory_body_received(&conn->body, bytes, now_us);
 	switch (bf_http_reader_feed(&conn->reader, data, bytes)) {
 	case BF_HTTP_OK:
 		if (conn->reader.message == NULL) {
@@ -270,6 +331,7 @@
 }
 
 static const bf_tcp_vtable_t conn_vtable = {
+	.may_read = conn_may_read,
 	.received = conn_received,
 	.ended = conn_ended,
 };
@@ -297,6 +359,11 @@
 		return;
 	}
 	bf_http_reader_init(&conn->reader, &reader_vtable, true);
+	conn->reader.budget = server->budget;
+	conn->tcp.out_charge.budget = server->budget;
+	conn->charge.budget = server->budget;
+	bf_memory_charge_set(&conn->charge, sizeof(*conn));
+	conn->body.refuse = refuse_body;
 	conn->server = server;
 	conn->from = *from;
 	conn->last = &conn->first;
@@ -330,10 +397,19 @@
 }
 
 static void
-sweep_conn(bf_http_conn_t *conn, bf_time_us_t now_us)
+sweep_conn(bf_http_conn_t *conn, bf_time_us_t elapsed_us, bf_time_us_t now_us)
 {
 	bf_http_server_t *server = conn->server;
 
+	if (conn->tcp.paused) {
+		bf_tcp_resume(&conn->tcp);
+	} else if (conn->body.budget != NULL &&
+	    bf_memory_body_is_too_slow(&conn->body, elapsed_us)) {
+		server->budget->refused_slow++;
+		refuse(conn, 503);
+		return;
+	}
+
 	if (is_idle(conn)) {
 		if (now_us - conn->active_us > conn->idle_timeout_us)
 			drop_conn(conn, now_us);
@@ -351,9 +427,12 @@
 	bf_http_server_t *server = BF_CONTAINER(timer, bf_http_server_t, sweep);
 	bf_http_conn_t *conn, *next;
 
+	bf_time_us_t elapsed_us = now_us - server->swept_us;
+
+	server->swept_us = now_us;
 	for (conn = server->conns; conn != NULL; conn = next) {
 		next = conn->next;
-		sweep_conn(conn, now_us);
+		sweep_conn(conn, elapsed_us, now_us);
 	}
 	bf_loop_timer_set(server->loop, timer, now_us + SWEEP_US);
 }
@@ -363,6 +442,7 @@
     const struct sockaddr_in *address, bf_time_us_t now_us, bf_error_t *err)
 {
 	server->loop = loop;
+	server->swept_us = now_us;
 	server->listener.accepted = on_accepted;
 	server->sweep.fire = sweep;
 	bf_loop_timer_set(loop, &server->sweep, now_us + SWEEP_US);
--- a/http/server.h
+++ b/http/server.h
@@ -37,6 +37,7 @@
 	bf_time_us_t head_received_at_us;
 	void *user; /* set by the request callback; may be NULL */
 	bf_bytes_t answer;
+	bf_memory_charge_t answer_charge;
 	bool answered;
 	bool close_after;
 };
@@ -57,8 +58,10 @@
 	bf_http_conn_t *conns;
 	bf_http_limits_t limits;
 	uint32_t conn_count;
-	uint32_t conn_max; /* 0: no limit */
-	bool draining;     /* each answer closes its connection */
+	uint32_t conn_max;          /* 0: no limit */
+	bool draining;              /* each answer closes its connection */
+	bf_memory_budget_t *budget; /* set before opening; may be NULL */
+	bf_time_us_t swept_us;
 };
 
 /* Starts to listen.  vtable, limits and conn_max must be set before. */
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1080,6 +1080,7 @@
 bf_entry_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err)
 {
 	mesh->caller_server.vtable = &callers_vtable;
+	mesh->caller_server.budget = &mesh->memory;
 	mesh->caller_server.conn_max = mesh->options.connections_max;
 	mesh->caller_server.limits = (bf_http_limits_t){
 		.head_bytes = HEAD_BYTES_DEFAULT,
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -395,6 +395,7 @@
 	uint64_t incarnation;
 	bf_wire_writer_t writer; /* reused for every frame sent */
 
+	bf_memory_budget_t memory; /* what others make the process hold */
 	bf_http_server_t caller_server;
 	bf_listener_t peer_listener;
 
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "mesh/internal.h"
 
@@ -89,6 +90,17 @@
 		    (json_int_t)took_us);
 }
 
+/* Memory of the instance: as set, else that of the machine. */
+static uint64_t
+memory_bytes(const bf_mesh_options_t *options)
+{
+	long pages = sysconf(_SC_PHYS_PAGES), bytes = sysconf(_SC_PAGESIZE);
+
+	if (options->memory_mb != 0)
+		return (uint64_t)options->memory_mb << 20;
+	return pages > 0 && bytes > 0 ? (uint64_t)pages * (uint64_t)bytes : 0;
+}
+
 bf_mesh_t *
 bf_mesh_new(const bf_mesh_options_t *options, const bf_dialect_t *dialect,
     bf_loop_t *loop, bf_kv_t *kv, bf_events_t *events,
@@ -113,6 +125,8 @@
 	mesh->offered_calls = apr_hash_make(mesh->pool);
 	mesh->caller_server.listener.source.fd = -1;
 	mesh->peer_listener.source.fd = -1;
+	bf_memory_budget_init(
+	    &mesh->memory, bf_memory_budget_limit(memory_bytes(options)));
 	bf_wire_writer_init(&mesh->writer);
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1187,6 +1187,7 @@
 	bf_own_target_t *target = &mesh->target;
 
 	target->client.loop = mesh->loop;
+	target->client.budget = &mesh->memory;
 	target->client.address = mesh->options.target_address;
 	target->client.idle_timeout_us = IDLE_US;
 	target->client.held_bytes_max = ANSWERS_BYTES_MAX;
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -7,8 +7,6 @@
 
 #include "net/tcp.h"
 
-/* Size of one read; larger input takes several iterations of the loop. */
-#define READ_BYTES 65536
 #define LISTEN_BACKLOG 1024
 #define ACCEPTS_PER_EVENT_MAX 64
 /* A connection fails when sent bytes stay unacknowledged this long. */
@@ -23,6 +21,15 @@
 	tcp->vtable->ended(tcp, orderly, now_us);
 }
 
+/* Sets the events to wait for. */
+static void
+update_events(bf_tcp_t *tcp)
+{
+	bf_loop_change(tcp->loop, &tcp->source,
+	    (tcp->paused ? 0 : READ_EVENTS) |
+		(tcp->blocked ? (uint32_t)EPOLLOUT : 0));
+}
+
 static bool
 flush(bf_tcp_t *tcp)
 {
@@ -34,10 +41,10 @@
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			if (!tcp->blocked)
-				bf_loop_change(tcp->loop, &tcp->source,
-				    READ_EVENTS | EPOLLOUT);
-			tcp->blocked = true;
+			if (!tcp->blocked) {
+				tcp->blocked = true;
+				update_events(tcp);
+			}
 			return true;
 		}
 		if (n < 0)
@@ -45,9 +52,10 @@
 		tcp->sent_bytes += (uint64_t)n;
 		bf_bytes_consume(&tcp->out, (size_t)n);
 	}
-	if (tcp->blocked)
-		bf_loop_change(tcp->loop, &tcp->source, READ_EVENTS);
-	tcp->blocked = false;
+	if (tcp->blocked) {
+		tcp->blocked = false;
+		update_events(tcp);
+	}
 	return true;
 }
 
@@ -62,10 +70,12 @@
 		 */
 		tcp->send_failed = true;
 		bf_bytes_clear(&tcp->out);
+		bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
 		if (tcp->close_when_flushed)
 			close_and_report(tcp, false, now_us);
 		return;
 	}
+	bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
 	if (tcp->close_when_flushed && bf_bytes_count(&tcp->out) == 0)
 		close_and_report(tcp, true, now_us);
 }
@@ -101,7 +111,7 @@
 static void
 read_once(bf_tcp_t *tcp, bf_time_us_t now_us)
 {
-	static uint8_t buffer[READ_BYTES];
+	static uint8_t buffer[BF_TCP_READ_BYTES];
 	ssize_t n;
 
 	do
@@ -133,7 +143,19 @@
 	}
 	if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
 		tcp->peer_closed = true;
-	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0)
+		return;
+	/* A connection that has failed is read to its end, which closes it. */
+	if ((events & (EPOLLHUP | EPOLLERR)) == 0 &&
+	    tcp->vtable->may_read != NULL &&
+	    !tcp->vtable->may_read(tcp, now_us)) {
+		if (bf_tcp_is_open(tcp)) {
+			tcp->paused = true;
+			update_events(tcp);
+		}
+		return;
+	}
+	if (bf_tcp_is_open(tcp))
 		read_once(tcp, now_us);
 }
 
@@ -195,8 +217,10 @@
 void
 bf_tcp_schedule_flush(bf_tcp_t *tcp)
 {
-	if (bf_tcp_is_open(tcp))
-		bf_loop_defer(tcp->loop, &tcp->flush);
+	if (!bf_tcp_is_open(tcp))
+		return;
+	bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
+	bf_loop_defer(tcp->loop, &tcp->flush);
 }
 
 void
@@ -214,6 +238,7 @@
 	close(tcp->source.fd);
 	tcp->source.fd = -1;
 	bf_bytes_free(&tcp->out);
+	bf_memory_charge_set(&tcp->out_charge, 0);
 }
 
 void
@@ -228,6 +253,15 @@
 	bf_tcp_close(tcp);
 }
 
+void
+bf_tcp_resume(bf_tcp_t *tcp)
+{
+	if (!bf_tcp_is_open(tcp) || !tcp->paused)
+		return;
+	tcp->paused = false;
+	update_events(tcp);
+}
+
 void
 bf_tcp_finish(bf_tcp_t *tcp)
 {
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include "base/bytes.h"
+#include "memory/budget.h"
 #include "net/loop.h"
 
 /*
@@ -11,11 +12,19 @@
  * loop are written together at its end.
  */
 
+/* Size of one read; larger input takes several iterations of the loop. */
+#define BF_TCP_READ_BYTES 65536
+
 typedef struct bf_tcp bf_tcp_t;
 
 typedef struct bf_tcp_vtable {
 	/* bf_tcp_connect has succeeded; may be NULL. */
 	void (*opened)(bf_tcp_t *tcp, bf_time_us_t now_us);
+	/*
+	 * Whether bytes may be read now; if not, the connection is paused and
+	 * they are left in the socket.  May close the connection.  May be NULL.
+	 */
+	bool (*may_read)(bf_tcp_t *tcp, bf_time_us_t now_us);
 	void (*received)(bf_tcp_t *tcp, const uint8_t *data, size_t bytes,
 	    bf_time_us_t now_us);
 	/*
@@ -32,8 +41,10 @@
 	bf_task_t flush;
 	bf_loop_t *loop;
 	bf_bytes_t out;
+	bf_memory_charge_t out_charge; /* its budget is set by the owner */
 	bool connecting;
 	bool blocked;            /* the send buffer of the kernel is full */
+	bool paused;             /* nothing is read */
 	bool close_when_flushed; /* close once all bytes are written */
 	bool peer_closed;        /* bytes sent before may still be unread */
 	bool peer_finished;      /* its end of stream came before any reset */
@@ -79,6 +90,9 @@
  */
 void bf_tcp_abort(bf_tcp_t *tcp);
 
+/* Reads again after may_read has returned false. */
+void bf_tcp_resume(bf_tcp_t *tcp);
+
 /* Closes once all bytes are written. */
 void bf_tcp_finish(bf_tcp_t *tcp);
 
