Count answers and frames of peers, and report refusals

Change: unread answers, connections to the target and links of peers count against the budget; an answer that is not read is compared like a body. Incomplete answers of the target hold half the budget at most.

--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -3,6 +3,7 @@
  * the store.  It runs on a single event loop.  See basilmeshd(8).
  */
 
+#include <malloc.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
@@ -335,6 +336,7 @@
 	apr_pool_t *pool;
 	int status;
 
+	(void)mallopt(M_MMAP_THRESHOLD, (int)BF_MEMORY_MAPPED_BYTES);
 	bf_daemon_arguments_parse(&arguments, argc, argv);
 	apr_initialize();
 	if (sodium_init() < 0)
--- a/http/client.c
+++ b/http/client.c
@@ -203,7 +203,23 @@
 	drop_conn(conn);
 }
 
+/*
+ * Answers are bounded by held_bytes_max, so they are read even if only requests
+ * that wait for them are left to hold memory.
+ */
+static bool
+conn_may_read(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	bf_http_client_t *client = conn_of(tcp)->client;
+
+	if (client->budget != NULL)
+		(void)bf_memory_budget_make_room(
+		    client->budget, BF_TCP_READ_BYTES, now_us);
+	return true;
+}
+
 static const bf_tcp_vtable_t conn_vtable = {
+	.may_read = conn_may_read,
 	.received = conn_received,
 	.ended = conn_ended,
 };
@@ -264,6 +280,8 @@
 	bf_http_reader_init(&conn->reader, &reader_vtable, false);
 	conn->reader.single_message = true;
 	conn->reader.budget = client->budget;
+	conn->reader.side = BF_MEMORY_TARGET;
+	conn->tcp.out_charge.side = BF_MEMORY_TARGET;
 	conn->tcp.out_charge.budget = client->budget;
 	conn->reader.response_to_head = exchange->is_head_request;
 	conn->exchange = exchange;
--- a/http/message.c
+++ b/http/message.c
@@ -159,6 +159,7 @@
 	if (reader->message == NULL)
 		return fail(reader, BF_HTTP_NO_MEMORY);
 	reader->message->charge.budget = reader->budget;
+	reader->message->charge.side = reader->side;
 	bf_http_message_update_charge(reader->message);
 	return 0;
 }
--- a/http/message.h
+++ b/http/message.h
@@ -89,7 +89,8 @@
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
 	bf_memory_budget_t *budget; /* holds the messages; may be NULL */
-	uint32_t interim_count;     /* responses of status 1xx */
+	bf_memory_side_t side;
+	uint32_t interim_count; /* responses of status 1xx */
 	bf_http_fault_t fault;
 	bool in_value;         /* the last piece of the head was a value */
 	bool in_trailers;      /* the head is complete */
--- a/http/server.c
+++ b/http/server.c
@@ -28,7 +28,10 @@
 	bf_time_us_t idle_timeout_us; /* the longest that has applied */
 	bool reading_ended;           /* further bytes are ignored */
 	bf_memory_body_t body;        /* the request being read */
-	bf_memory_charge_t charge;    /* of the connection itself */
+	/* Answers that were not written at the last sweep. */
+	bf_memory_body_t answers;
+	uint64_t answers_sent_bytes; /* of the connection, at that sweep */
+	bf_memory_charge_t charge;   /* of the connection itself */
 };
 
 static bf_http_conn_t *
@@ -54,6 +57,7 @@
 	bf_http_request_t *request;
 
 	bf_memory_body_end(&conn->body);
+	bf_memory_body_end(&conn->answers);
 	bf_memory_charge_set(&conn->charge, 0);
 	bf_tcp_close(&conn->tcp);
 	*conn->previous = conn->next;
@@ -251,12 +255,37 @@
 	    request, status, status == 503 ? RETRY_AFTER_FIELD : "", "", 0);
 }
 
+static void
+report_refusal(
+    bf_http_conn_t *conn, bf_http_refusal_t reason, bf_time_us_t now_us)
+{
+	bf_http_server_t *server = conn->server;
+
+	if (server->vtable->body_refused != NULL)
+		server->vtable->body_refused(
+		    server, reason, &conn->from, now_us);
+}
+
+/* Gives up answers that their caller does not read. */
+static void
+drop_answers(bf_memory_body_t *answers, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = BF_CONTAINER(answers, bf_http_conn_t, answers);
+
+	if (bf_tcp_unsent(&conn->tcp) == 0)
+		return; /* they were written since the last sweep */
+	report_refusal(conn, BF_HTTP_REFUSAL_UNREAD, now_us);
+	drop_conn(conn, now_us);
+}
+
 /* Refuses the body being read; nothing of its request was passed on. */
 static void
 refuse_body(bf_memory_body_t *body, bf_time_us_t now_us)
 {
-	(void)now_us;
-	refuse(BF_CONTAINER(body, bf_http_conn_t, body), 503);
+	bf_http_conn_t *conn = BF_CONTAINER(body, bf_http_conn_t, body);
+
+	report_refusal(conn, BF_HTTP_REFUSAL_MEMORY, now_us);
+	refuse(conn, 503);
 }
 
 static bool
@@ -312,6 +341,7 @@
 		refuse(conn, 431);
 		break;
 	case BF_HTTP_BODY_TOO_LARGE:
+		report_refusal(conn, BF_HTTP_REFUSAL_TOO_LONG, now_us);
 		refuse(conn, 413);
 		break;
 	case BF_HTTP_MALFORMED:
@@ -364,6 +394,7 @@
 	conn->charge.budget = server->budget;
 	bf_memory_charge_set(&conn->charge, sizeof(*conn));
 	conn->body.refuse = refuse_body;
+	conn->answers.refuse = drop_answers;
 	conn->server = server;
 	conn->from = *from;
 	conn->last = &conn->first;
@@ -396,6 +427,29 @@
 	return true;
 }
 
+/* Follows how fast answers are read; false if the connection was dropped. */
+static bool
+track_answers(
+    bf_http_conn_t *conn, bf_time_us_t elapsed_us, bf_time_us_t now_us)
+{
+	uint64_t sent_bytes = conn->tcp.sent_bytes - conn->answers_sent_bytes;
+
+	conn->answers_sent_bytes = conn->tcp.sent_bytes;
+	if (bf_tcp_unsent(&conn->tcp) == 0) {
+		bf_memory_body_end(&conn->answers);
+	} else if (conn->answers.budget == NULL) {
+		bf_memory_body_begin(
+		    conn->server->budget, &conn->answers, now_us);
+	} else {
+		bf_memory_body_received(&conn->answers, sent_bytes, now_us);
+		if (bf_memory_body_is_too_slow(&conn->answers, elapsed_us)) {
+			drop_answers(&conn->answers, now_us);
+			return false;
+		}
+	}
+	return true;
+}
+
 static void
 sweep_conn(bf_http_conn_t *conn, bf_time_us_t elapsed_us, bf_time_us_t now_us)
 {
@@ -405,10 +459,12 @@
 		bf_tcp_resume(&conn->tcp);
 	} else if (conn->body.budget != NULL &&
 	    bf_memory_body_is_too_slow(&conn->body, elapsed_us)) {
-		server->budget->refused_slow++;
+		report_refusal(conn, BF_HTTP_REFUSAL_SLOW, now_us);
 		refuse(conn, 503);
 		return;
 	}
+	if (server->budget != NULL && !track_answers(conn, elapsed_us, now_us))
+		return;
 
 	if (is_idle(conn)) {
 		if (now_us - conn->active_us > conn->idle_timeout_us)
--- a/http/server.h
+++ b/http/server.h
@@ -14,6 +14,13 @@
 typedef struct bf_http_conn bf_http_conn_t;
 typedef struct bf_http_request bf_http_request_t;
 
+typedef enum bf_http_refusal {
+	BF_HTTP_REFUSAL_MEMORY,
+	BF_HTTP_REFUSAL_SLOW,
+	BF_HTTP_REFUSAL_TOO_LONG,
+	BF_HTTP_REFUSAL_UNREAD
+} bf_http_refusal_t;
+
 typedef struct bf_http_server_vtable {
 	/* A request is complete; answer it by bf_http_answer, now or later. */
 	void (*request)(bf_http_server_t *server, bf_http_request_t *request,
@@ -26,6 +33,13 @@
 	 */
 	void (*abandoned)(bf_http_server_t *server, bf_http_request_t *request,
 	    bf_time_us_t now_us);
+	/*
+	 * A request was refused before it was complete, as nothing was left of
+	 * the memory budget, or for its minimum rate or its length, or an
+	 * answer that is not read was given up.  May be NULL.
+	 */
+	void (*body_refused)(bf_http_server_t *server, bf_http_refusal_t reason,
+	    const struct sockaddr_in *from, bf_time_us_t now_us);
 } bf_http_server_vtable_t;
 
 struct bf_http_request {
--- a/memory/budget.c
+++ b/memory/budget.c
@@ -7,8 +7,6 @@
  * leaves room for the process itself and for allocator overhead.
  */
 #define LIMIT_DIVISOR 2
-/* glibc maps larger blocks separately: what was not written is not resident. */
-#define MAPPED_BYTES_MIN ((size_t)131072)
 /* Time constant of the recent rate of a body. */
 #define RECENT_US (2 * BF_US_PER_S)
 /* A body this young is refused only if there is no other. */
@@ -42,14 +40,15 @@
 	if (charge->budget == NULL)
 		return;
 	charge->budget->held_bytes += bytes - charge->bytes;
+	charge->budget->held_by_side[charge->side] += bytes - charge->bytes;
 	charge->bytes = bytes;
 }
 
 uint64_t
 bf_memory_of(const bf_bytes_t *bytes)
 {
-	return bytes->capacity < MAPPED_BYTES_MIN ? bytes->capacity
-						  : bytes->end;
+	return bytes->capacity < BF_MEMORY_MAPPED_BYTES ? bytes->capacity
+							: bytes->end;
 }
 
 void
@@ -151,7 +150,6 @@
 		body = bf_memory_budget_slowest(budget, now_us);
 		if (body == NULL)
 			return false;
-		budget->refused_full++;
 		bf_memory_body_end(body);
 		body->refuse(body, now_us);
 	}
--- a/memory/budget.h
+++ b/memory/budget.h
@@ -20,13 +20,28 @@
 typedef struct bf_memory_budget bf_memory_budget_t;
 typedef struct bf_memory_body bf_memory_body_t;
 
+/*
+ * Blocks of this length are mapped separately: what was not written is not
+ * resident.  The process sets it as M_MMAP_THRESHOLD, as glibc raises its own
+ * default when such a block is freed.
+ */
+#define BF_MEMORY_MAPPED_BYTES ((size_t)131072)
+
+typedef enum bf_memory_side {
+	BF_MEMORY_CALLERS, /* requests of callers and answers to them */
+	BF_MEMORY_TARGET,  /* calls at the target and its answers */
+	BF_MEMORY_PEERS,   /* bodies from peers and frames in both directions */
+	BF_MEMORY_SIDES
+} bf_memory_side_t;
+
 /* Bytes that one object holds of a budget; zeroed: none. */
 typedef struct bf_memory_charge {
 	bf_memory_budget_t *budget; /* NULL: not counted */
+	bf_memory_side_t side;
 	uint64_t bytes;
 } bf_memory_charge_t;
 
-/* A body that is being read. */
+/* A body that is being read, or an answer that is being written. */
 struct bf_memory_body {
 	TAILQ_ENTRY(bf_memory_body) link;
 	bf_memory_budget_t *budget; /* NULL: not in a list */
@@ -42,8 +57,7 @@
 struct bf_memory_budget {
 	uint64_t limit_bytes; /* 0: no limit */
 	uint64_t held_bytes;
-	uint64_t refused_full; /* bodies refused because it ran out */
-	uint64_t refused_slow; /* bodies refused for their minimum rate */
+	uint64_t held_by_side[BF_MEMORY_SIDES];
 	TAILQ_HEAD(bf_memory_bodies, bf_memory_body) bodies;
 };
 
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1,3 +1,4 @@
+#include <arpa/inet.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -1066,7 +1067,25 @@
 	free_call(call);
 }
 
+static void
+on_body_refused(bf_http_server_t *server, bf_http_refusal_t reason,
+    const struct sockaddr_in *from, bf_time_us_t now_us)
+{
+	static const char *const names[] = { "memory", "slow", "too-long",
+		"unread" };
+	bf_mesh_t *mesh = BF_CONTAINER(server, bf_mesh_t, caller_server);
+	char address[INET_ADDRSTRLEN] = "";
+
+	(void)inet_ntop(AF_INET, &from->sin_addr, address, sizeof(address));
+	bf_metric_count(mesh->metrics.refused_bodies, names[reason], 1);
+	bf_event(mesh->events, BF_EVENT_BODY_REFUSED, now_us, "s:s,s:s,s:I,s:I",
+	    "reason", names[reason], "from", address, "held_bytes",
+	    (json_int_t)mesh->memory.held_bytes, "limit_bytes",
+	    (json_int_t)mesh->memory.limit_bytes);
+}
+
 static const bf_http_server_vtable_t callers_vtable = {
+	.body_refused = on_body_refused,
 	.request = on_request,
 	.abandoned = on_abandoned,
 };
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -370,7 +370,9 @@
 	bf_metric_family_t *left;        /* time since a caller left */
 	bf_metric_family_t *frame_delay; /* by kind of frame */
 	bf_metric_family_t *iteration;   /* of the event loop */
-	bf_metric_family_t *unsent;      /* bytes queued for other nodes */
+	bf_metric_family_t *memory;      /* bytes held, by side */
+	bf_metric_family_t *refused_bodies; /* by reason */
+	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
 } bf_mesh_metrics_t;
 
 /* How often nodes report to each other, and when silence is a failure. */
--- a/mesh/link.c
+++ b/mesh/link.c
@@ -128,6 +128,12 @@
 	return used;
 }
 
+static void
+update_charge(bf_mesh_link_t *link)
+{
+	bf_memory_charge_set(&link->in_charge, bf_memory_of(&link->in));
+}
+
 static void
 close_invalid(bf_mesh_link_t *link, bf_time_us_t now_us)
 {
@@ -148,6 +154,7 @@
 			close_invalid(link, now_us);
 		else if (bf_tcp_is_open(tcp))
 			bf_bytes_add(&link->in, data + used, bytes - used);
+		update_charge(link);
 		return;
 	}
 	bf_bytes_add(&link->in, data, bytes);
@@ -157,6 +164,7 @@
 		close_invalid(link, now_us);
 	else if (bf_tcp_is_open(tcp))
 		bf_bytes_consume(&link->in, used);
+	update_charge(link);
 }
 
 static void
@@ -173,6 +181,7 @@
 {
 	(void)orderly;
 	bf_bytes_free(&link_of(tcp)->in);
+	update_charge(link_of(tcp));
 	link_of(tcp)->vtable->ended(link_of(tcp), now_us);
 }
 
@@ -228,11 +237,21 @@
 		bf_wire_writer_clear(writer);
 }
 
+void
+bf_mesh_link_set_budget(bf_mesh_link_t *link, bf_memory_budget_t *budget)
+{
+	link->in_charge.budget = budget;
+	link->in_charge.side = BF_MEMORY_PEERS;
+	link->tcp.out_charge.budget = budget;
+	link->tcp.out_charge.side = BF_MEMORY_PEERS;
+}
+
 void
 bf_mesh_link_close(bf_mesh_link_t *link)
 {
 	bf_tcp_close(&link->tcp);
 	bf_bytes_free(&link->in);
+	update_charge(link);
 }
 
 void
@@ -240,4 +259,5 @@
 {
 	bf_tcp_abort(&link->tcp);
 	bf_bytes_free(&link->in);
+	update_charge(link);
 }
--- a/mesh/link.h
+++ b/mesh/link.h
@@ -56,6 +56,7 @@
 	const bf_mesh_link_vtable_t *vtable;
 	void *owner;   /* context of the dialling side */
 	bf_bytes_t in; /* received bytes of an incomplete frame */
+	bf_memory_charge_t in_charge;
 	bf_time_us_t last_received_at_us; /* the last frame, or the connect */
 	/*
 	 * Minimum of receive time - send time, two clocks, over the current
@@ -91,6 +92,9 @@
 bool bf_mesh_link_min_transit(
     const bf_mesh_link_t *link, bf_time_us_t *transit_us);
 
+/* Counts what the connection holds; call it once after adopt or dial. */
+void bf_mesh_link_set_budget(bf_mesh_link_t *link, bf_memory_budget_t *budget);
+
 /* Closes the connection without a callback and frees its buffers, not link. */
 void bf_mesh_link_close(bf_mesh_link_t *link);
 /* The same with a reset: frames that have not arrived yet are discarded. */
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -72,6 +72,12 @@
 	m->iteration = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
 	    "bf_loop_microseconds",
 	    "Time of an iteration of the event loop, without its wait", NULL);
+	m->memory = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_memory_bytes",
+	    "Bytes held for callers, the target and other nodes", "side");
+	m->refused_bodies =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_refused_bodies_total",
+		"Bodies and answers that were given up to bound the memory",
+		"reason");
 	m->unsent = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_unsent_bytes",
 	    "Bytes that wait to be sent to other nodes", "figure");
 }
@@ -306,6 +312,13 @@
 		else
 			open++;
 	}
+	bf_metric_set(
+	    m->memory, "callers", mesh->memory.held_by_side[BF_MEMORY_CALLERS]);
+	bf_metric_set(
+	    m->memory, "target", mesh->memory.held_by_side[BF_MEMORY_TARGET]);
+	bf_metric_set(
+	    m->memory, "peers", mesh->memory.held_by_side[BF_MEMORY_PEERS]);
+	bf_metric_set(m->memory, "limit", mesh->memory.limit_bytes);
 	bf_metric_set(m->unsent, "all_connections", unsent);
 	bf_metric_set(m->unsent, "fullest_connection", most_unsent);
 	bf_metric_set(m->peers, "open", open);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -496,7 +496,9 @@
 		free(peer->link);
 		peer->link = NULL;
 		schedule_redial(peer, now_us);
+		return;
 	}
+	bf_mesh_link_set_budget(peer->link, &mesh->memory);
 }
 
 static void
@@ -855,6 +857,7 @@
 		free(inbound);
 		return;
 	}
+	bf_mesh_link_set_budget(&inbound->link, &mesh->memory);
 	inbound->mesh = mesh;
 	inbound->next = mesh->inbound;
 	if (inbound->next != NULL)
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -747,6 +747,7 @@
 			return NULL;
 		}
 		call->body->charge.budget = &mesh->memory;
+		call->body->charge.side = BF_MEMORY_PEERS;
 	}
 	(void)snprintf(call->request_id, sizeof(call->request_id), "%s",
 	    offer->request_id);
@@ -1212,6 +1213,10 @@
 	target->client.address = mesh->options.target_address;
 	target->client.idle_timeout_us = IDLE_US;
 	target->client.held_bytes_max = ANSWERS_BYTES_MAX;
+	/* A complete answer is copied once, to its caller's connection. */
+	if (mesh->memory.limit_bytes != 0 &&
+	    target->client.held_bytes_max > mesh->memory.limit_bytes / 2)
+		target->client.held_bytes_max = mesh->memory.limit_bytes / 2;
 	target->expiry_timer.fire = on_expiry;
 	bf_call_queue_init(&target->queue, 0);
 	bf_body_pulls_init(&target->pulls, mesh->options.link_mbps);
--- a/observe/events.h
+++ b/observe/events.h
@@ -37,10 +37,11 @@
 	BF_EVENT_RAN,            /* target's node: the target ran a call */
 	BF_EVENT_REFUSED,        /* target's node: refused a call */
 	BF_EVENT_CANCELLED,
-	BF_EVENT_UNCLAIMED,  /* entry node: a reply to a cancelled offer */
-	BF_EVENT_FRAME_LATE, /* a frame waited long for its link or its reader
-			      */
-	BF_EVENT_STALL,      /* an iteration of the event loop took long */
+	BF_EVENT_UNCLAIMED,    /* entry node: a reply to a cancelled offer */
+	BF_EVENT_FRAME_LATE,   /* a frame waited long for its link or its reader
+				*/
+	BF_EVENT_BODY_REFUSED, /* entry node: a body took too much memory */
+	BF_EVENT_STALL,        /* an iteration of the event loop took long */
 	BF_EVENT_KIND_COUNT
 } bf_event_kind_t;
 
--- a/tests/test_budget.c
+++ b/tests/test_budget.c
@@ -58,7 +58,7 @@
 	g_assert_false(steady.refused);
 	g_assert_false(newcomer.refused);
 	g_assert_cmpuint(budget.held_bytes, ==, 2 * MB);
-	g_assert_cmpuint(budget.refused_full, ==, 1);
+	g_assert_cmpuint(budget.held_by_side[BF_MEMORY_CALLERS], ==, 2 * MB);
 }
 
 /* What waits for answers cannot be refused: nothing more may be read. */
