Refuse answers with an invalid status line

Cause: the parser takes statuses from 0 to 999, any version and several spaces; status 600 and 999, HTTP/2.0 and two spaces were passed on to callers, and a status of 000 was waited on as an interim response.

Change: the reader of responses accepts only "HTTP/1.N" with one space and a status from 100 to 599, also after an interim response. Other answers are bad answers: 502, and a call that is not repeatable is not sent again.

Result: test_http status-lines and test_mesh bad-status-lines failed before (fault 0 instead of 1; 504 instead of 502 for status 000) and pass now. test_mesh reset-during-upload is a regression test that holds before too.

--- a/http/message.c
+++ b/http/message.c
@@ -8,6 +8,9 @@
 #define BODY_BYTES_DEFAULT (UINT64_C(64) << 20)
 /* A server that sends more before a final response may never send one. */
 #define INTERIM_RESPONSES_MAX 16
+/* Of the final response; a greater one has no meaning (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 bf_http_message_t *
 bf_http_message_new(void)
@@ -279,6 +282,10 @@
 
 	if (terminate_part(reader) != 0)
 		return -1;
+	if (parser->type == HTTP_RESPONSE &&
+	    (parser->status_code < STATUS_MIN ||
+		parser->status_code > STATUS_MAX))
+		return fail(reader, BF_HTTP_MALFORMED);
 	if (!names_are_tokens(message) || parser->method == HTTP_CONNECT)
 		return fail(reader, BF_HTTP_MALFORMED);
 	/*
@@ -326,9 +333,12 @@
 		/* An interim response; the final one follows. */
 		bf_http_message_free(message);
 		reader->interim_count++;
-		return reader->interim_count > INTERIM_RESPONSES_MAX
-		    ? fail(reader, BF_HTTP_MALFORMED)
-		    : 0;
+		if (reader->interim_count > INTERIM_RESPONSES_MAX)
+			return fail(reader, BF_HTTP_MALFORMED);
+		/* The status line of the next one is checked first. */
+		reader->after_interim = true;
+		http_parser_pause(parser, 1);
+		return 0;
 	}
 	if (reader->single_message)
 		http_parser_pause(parser, 1);
@@ -367,6 +377,42 @@
 	reader->message = NULL;
 }
 
+/*
+ * Checks the start of a response's status line; the parser takes any version
+ * and several spaces.  Empty lines in front are skipped.
+ */
+static bool
+check_status_line(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+{
+	static const char form[] = "HTTP/1.# ###";
+	uint32_t at = reader->status_line_bytes;
+	size_t i;
+
+	for (i = 0; i < bytes && form[at] != '\0'; i++) {
+		if (at == 0 && (data[i] == '\r' || data[i] == '\n'))
+			continue;
+		if (form[at] == '#' ? data[i] < '0' || data[i] > '9'
+				    : data[i] != (uint8_t)form[at])
+			return false;
+		at++;
+	}
+	reader->status_line_bytes = at;
+	return true;
+}
+
+/* Parses up to the end of the data or of an interim response. */
+static size_t
+execute(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+{
+	if (reader->parser.type == HTTP_RESPONSE &&
+	    !check_status_line(reader, data, bytes)) {
+		(void)fail(reader, BF_HTTP_MALFORMED);
+		return 0;
+	}
+	return http_parser_execute(
+	    &reader->parser, &callbacks, (const char *)data, bytes);
+}
+
 bf_http_fault_t
 bf_http_reader_feed(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
 {
@@ -375,8 +421,13 @@
 
 	if (reader->fault != BF_HTTP_OK)
 		return reader->fault;
-	used = http_parser_execute(
-	    &reader->parser, &callbacks, (const char *)data, bytes);
+	used = execute(reader, data, bytes);
+	while (reader->fault == BF_HTTP_OK && reader->after_interim) {
+		reader->after_interim = false;
+		reader->status_line_bytes = 0;
+		http_parser_pause(&reader->parser, 0);
+		used += execute(reader, data + used, bytes - used);
+	}
 	code = HTTP_PARSER_ERRNO(&reader->parser);
 	if (code == HPE_PAUSED) {
 		reader->has_trailing_bytes = used < bytes;
--- a/http/message.h
+++ b/http/message.h
@@ -88,6 +88,7 @@
 	uint64_t head_bytes_max;    /* of the head, and of all trailer fields */
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
+	uint32_t status_line_bytes; /* of a response, checked so far */
 	bf_memory_budget_t *budget; /* holds the messages; may be NULL */
 	bf_memory_side_t side;
 	uint32_t interim_count; /* responses of status 1xx */
@@ -96,6 +97,7 @@
 	bool in_trailers;      /* the head is complete */
 	bool single_message;   /* stop after the first message */
 	bool response_to_head; /* the response to a HEAD request has no body */
+	bool after_interim;    /* the next response has not begun */
 	bool has_trailing_bytes; /* after a single_message */
 };
 
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -422,6 +422,7 @@
 	bf_timer_t timer;
 	char refused_id[BF_REQUEST_ID_BYTES]; /* of the request rejected */
 	bool endless_begun;
+	bool resetting; /* reads nothing more */
 	bool dropped;
 } target_connection_t;
 
@@ -527,6 +528,12 @@
 	case BEHAVIOUR_FAIL_AS_BUSY:
 		send_answer(connection, 503, id, "", "", 0);
 		break;
+	case BEHAVIOUR_STATUS_LINE:
+		bf_bytes_format(&connection->tcp.out,
+		    "%s\r\nCall-Id: %s\r\nContent-Length: 5\r\n\r\nwhole",
+		    target->status_line, id);
+		bf_tcp_schedule_flush(&connection->tcp);
+		break;
 	case BEHAVIOUR_CUT_HEAD:
 		bf_bytes_format(&connection->tcp.out,
 		    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\nStamp: t", id);
@@ -661,7 +668,48 @@
 	    bf_clock_monotonic_us() + target->delay_us);
 }
 
+static void
+on_reset_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	target_connection_t *connection =
+	    BF_CONTAINER(timer, target_connection_t, timer);
+
+	(void)now_us;
+	bf_tcp_abort(&connection->tcp);
+	drop_connection(connection);
+}
+
+static void
+on_target_head(bf_http_reader_t *reader, bf_http_message_t *message)
+{
+	target_connection_t *connection =
+	    BF_CONTAINER(reader, target_connection_t, reader);
+	fake_target_t *target = connection->target;
+
+	if (target->behaviour != BEHAVIOUR_RESET_UPLOAD)
+		return;
+	connection->message = message;
+	record_run(connection);
+	connection->message = NULL; /* still the reader's */
+	connection->resetting = true;
+	bf_bytes_format(&connection->tcp.out,
+	    "HTTP/1.1 200 OK\r\nCall-Id: %s\r\n\r\nhalf",
+	    bf_http_find(message, "Call-Id"));
+	bf_tcp_schedule_flush(&connection->tcp);
+	connection->timer.fire = on_reset_timer;
+	bf_loop_timer_set(target->fixture->loop, &connection->timer,
+	    bf_clock_monotonic_us() + 20 * BF_US_PER_MS);
+}
+
+static bool
+target_may_read(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	(void)now_us;
+	return !((target_connection_t *)(void *)tcp)->resetting;
+}
+
 static const bf_http_reader_vtable_t target_reader = {
+	.head = on_target_head,
 	.message = on_target_message,
 };
 
@@ -685,6 +733,7 @@
 }
 
 static const bf_tcp_vtable_t target_tcp = {
+	.may_read = target_may_read,
 	.received = on_target_bytes,
 	.ended = on_target_ended,
 };
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -38,7 +38,13 @@
 	BEHAVIOUR_ENDLESS_HEAD, /* until the connection is closed */
 	BEHAVIOUR_ENDLESS_INTERIM,
 	BEHAVIOUR_ENDLESS_BODY,
-	BEHAVIOUR_ENDLESS_CHUNK_EXTENSION
+	BEHAVIOUR_ENDLESS_CHUNK_EXTENSION,
+	BEHAVIOUR_STATUS_LINE, /* 200 otherwise, behind target.status_line */
+	/*
+	 * Begins an unframed answer when it has the head of a request, reads
+	 * nothing more and resets the connection.
+	 */
+	BEHAVIOUR_RESET_UPLOAD
 } target_behaviour_t;
 
 typedef struct fake_target fake_target_t;
@@ -57,6 +63,7 @@
 	struct mesh_fixture *fixture;
 	char id[BF_NAME_BYTES];
 	target_behaviour_t behaviour;
+	const char *status_line;
 	bf_time_us_t delay_us; /* from a request to the behaviour */
 	bool unhealthy;        /* its health check fails, as when it leaves */
 	uint32_t health_checks;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -497,6 +497,55 @@
 	fixture_free(&fixture);
 }
 
+typedef struct status_line_case {
+	const char *line;
+	bf_http_fault_t fault;
+} status_line_case_t;
+
+/*
+ * The parser took statuses without a meaning, other versions and additional
+ * spaces for answers, which were passed on to callers.
+ */
+static void
+test_status_lines(void)
+{
+	static const status_line_case_t cases[] = {
+		{ "HTTP/1.1 200 OK", BF_HTTP_OK },
+		{ "HTTP/1.0 200 OK", BF_HTTP_OK },
+		{ "HTTP/1.1 599 ", BF_HTTP_OK },
+		{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK", BF_HTTP_OK },
+		{ "HTTP/1.1 000 Zero", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 099 Low", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 600 High", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 999 High", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 20 Short", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 2000 Long", BF_HTTP_MALFORMED },
+		{ "HTTP/2.0 200 OK", BF_HTTP_MALFORMED },
+		{ "HTTP/0.9 200 OK", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1  200 OK", BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/2.0 200 OK",
+		    BF_HTTP_MALFORMED },
+		{ "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1  200 OK",
+		    BF_HTTP_MALFORMED },
+	};
+	collector_t collector;
+	size_t i, piece;
+	char *text;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		text = g_strdup_printf(
+		    "%s\r\nContent-Length: 2\r\n\r\nok", cases[i].line);
+		for (piece = 1; piece <= strlen(text); piece++) {
+			collector_init(&collector, false);
+			feed_in_pieces(&collector, text, piece, cases[i].fault);
+			g_assert_cmpuint(collector.messages->len, ==,
+			    cases[i].fault == BF_HTTP_OK ? 1 : 0);
+			collector_free(&collector);
+		}
+		g_free(text);
+	}
+}
+
 #define ANSWER_UNFRAMED "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf"
 #define ANSWER_FRAMED "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nhalf"
 #define ANSWER_CHUNKED \
@@ -650,6 +699,7 @@
 	g_test_add_func("/http/kept-connection", test_keep_alive);
 	g_test_add_func("/http/ends", test_exchange_results);
 	g_test_add_func("/http/slow-head", test_slow_head);
+	g_test_add_func("/http/status-lines", test_status_lines);
 	g_test_add_func("/http/answer-endings", test_answer_endings);
 	return g_test_run();
 }
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -284,6 +284,59 @@
 	fixture_free(fixture);
 }
 
+/*
+ * Answers that are none were passed on to the caller.  The call may have run,
+ * so it gets 502, and it runs only once unless it is repeatable.
+ */
+static void
+test_bad_status_lines(void)
+{
+	static const char *const lines[] = { "HTTP/1.1 000 Zero",
+		"HTTP/1.1 600 High", "HTTP/1.1 999 High", "HTTP/2.0 200 OK",
+		"HTTP/1.1  200 OK" };
+	mesh_fixture_t *fixture = new_configured(3);
+	test_call_t call;
+	char id[24];
+	size_t i, j;
+
+	set_behaviour(fixture, BEHAVIOUR_STATUS_LINE);
+	for (i = 0; i < G_N_ELEMENTS(lines); i++) {
+		for (j = 0; j < fixture->node_count; j++)
+			fixture->targets[j].status_line = lines[i];
+		(void)snprintf(id, sizeof(id), "p%zu", i);
+		call = send_and_await(fixture, "POST", "/pay/x", id);
+		g_assert_cmpuint(call.status, ==, 502);
+		g_assert_cmpuint(fixture_count_runs(fixture, id), ==, 1);
+		(void)snprintf(id, sizeof(id), "r%zu", i);
+		call = send_and_await(fixture, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 502);
+	}
+	fixture_free(fixture);
+}
+
+/*
+ * An answer without a length that is reset midway, while the request is still
+ * being written, is no complete answer.  The call may have run.
+ */
+static void
+test_reset_during_upload(void)
+{
+	const size_t body_bytes = (size_t)12 << 20;
+	mesh_fixture_t *fixture = new_configured(1);
+	test_call_t call;
+
+	/* More than the buffers of the connection to the target take. */
+	fixture->nodes[0]->caller_server.limits.body_bytes = body_bytes;
+	set_behaviour(fixture, BEHAVIOUR_RESET_UPLOAD);
+	fixture_send(
+	    fixture, &call, 0, "POST", "/pay/x", "c1", TIMEOUT_MS, body_bytes);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	g_assert_cmpuint(call.status, ==, 502);
+	g_assert_cmpuint(fixture_count_runs(fixture, "c1"), ==, 1);
+	fixture_free(fixture);
+}
+
 /*
  * Answers without an end, to several calls at once, are cut off before the
  * node's memory is used up, and as soon as they can be no answer.
@@ -2040,6 +2093,8 @@
 	g_test_add_func("/mesh/repeated-refusal", test_repeated_refusal);
 	g_test_add_func("/mesh/busy-after-run", test_busy_after_run);
 	g_test_add_func("/mesh/cut-head", test_cut_head);
+	g_test_add_func("/mesh/bad-status-lines", test_bad_status_lines);
+	g_test_add_func("/mesh/reset-during-upload", test_reset_during_upload);
 	g_test_add_func("/mesh/endless-answers", test_endless_answers);
 	g_test_add_func("/mesh/long-body", test_long_body);
 	g_test_add_func("/mesh/long-configuration", test_long_configuration);
