Test paused reading, unread answers and stopped bodies

Change: test_http covers a server whose budget is used up by answers that are not read, by requests that wait, and by a stopped body. A connection that has been paused has a receive buffer of 64 KB, so that what waits in the kernel is bounded by the number of connections.

--- a/net/tcp.c
+++ b/net/tcp.c
@@ -8,6 +8,11 @@
 #include "net/tcp.h"
 
 #define LISTEN_BACKLOG 1024
+/*
+ * Receive buffer of a connection that has been paused: the kernel would let it
+ * grow to several MB, which count against the machine's memory too.
+ */
+#define PAUSED_RECEIVE_BYTES 65536
 #define ACCEPTS_PER_EVENT_MAX 64
 /* A connection fails when sent bytes stay unacknowledged this long. */
 #define UNACKED_TIMEOUT_MS 3000U
@@ -30,6 +35,17 @@
 		(tcp->blocked ? (uint32_t)EPOLLOUT : 0));
 }
 
+static void
+pause_reading(bf_tcp_t *tcp)
+{
+	int bytes = PAUSED_RECEIVE_BYTES;
+
+	tcp->paused = true;
+	(void)setsockopt(
+	    tcp->source.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	update_events(tcp);
+}
+
 static bool
 flush(bf_tcp_t *tcp)
 {
@@ -161,8 +177,7 @@
 	    tcp->vtable->may_read != NULL &&
 	    !tcp->vtable->may_read(tcp, now_us)) {
 		if (bf_tcp_is_open(tcp)) {
-			tcp->paused = true;
-			update_events(tcp);
+			pause_reading(tcp);
 		}
 		return;
 	}
--- a/tests/e2e_bodies.c
+++ b/tests/e2e_bodies.c
@@ -333,7 +333,7 @@
 		g_assert_cmpuint(descriptor_count(node), <=,
 		    CONNECTIONS_MAX + OTHER_DESCRIPTORS_MAX);
 		g_assert_cmpuint(
-		    peak_memory_kb(node), <=, node->memory_mb * 1024);
+		    peak_memory_kb(node), <=, node->memory_mb * UINT64_C(1024));
 	}
 }
 
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -311,11 +311,16 @@
 	uint32_t requests;
 	uint32_t abandoned;
 	bool early; /* answer before the body is read */
+	uint32_t refused[BF_HTTP_REFUSAL_UNREAD + 1];
 	uint32_t ended;
 	bf_http_result_t result;
 	uint32_t status;
 } fixture_t;
 
+#define BIG_BYTES ((size_t)8 << 20)
+
+static uint8_t big_answer[BIG_BYTES];
+
 static void
 on_request(
     bf_http_server_t *server, bf_http_request_t *request, bf_time_us_t now_us)
@@ -327,6 +332,10 @@
 	request->user = fixture;
 	if (strcmp(bf_http_target(request->message), "/hold") == 0)
 		return;
+	if (strcmp(bf_http_target(request->message), "/big") == 0) {
+		bf_http_answer(request, 200, "", big_answer, BIG_BYTES);
+		return;
+	}
 	if (strcmp(bf_http_target(request->message), "/abort") == 0)
 		bf_http_abort(request);
 	else
@@ -342,7 +351,17 @@
 	BF_CONTAINER(server, fixture_t, server)->abandoned++;
 }
 
+static void
+on_body_refused(bf_http_server_t *server, bf_http_refusal_t reason,
+    const struct sockaddr_in *from, bf_time_us_t now_us)
+{
+	(void)from;
+	(void)now_us;
+	BF_CONTAINER(server, fixture_t, server)->refused[reason]++;
+}
+
 static const bf_http_server_vtable_t server_vtable = {
+	.body_refused = on_body_refused,
 	.request = on_request,
 	.abandoned = on_abandoned,
 };
@@ -427,6 +446,123 @@
 	bf_bytes_free(&head);
 }
 
+static int
+connect_raw(const fixture_t *fixture, const char *text)
+{
+	int fd = socket(AF_INET, SOCK_STREAM, 0);
+
+	g_assert_cmpint(
+	    connect(fd, (const struct sockaddr *)&fixture->client.address,
+		sizeof(fixture->client.address)),
+	    ==, 0);
+	g_assert_cmpint(
+	    send(fd, text, strlen(text), 0), ==, (ssize_t)strlen(text));
+	return fd;
+}
+
+#define READERS 8
+
+/* Callers that read no answer must not hold memory and keep others out. */
+static void
+test_unread_answers(void)
+{
+	bf_memory_budget_t budget;
+	exchange_t exchange;
+	fixture_t fixture;
+	int fds[READERS], i;
+
+	bf_memory_budget_init(&budget, 3 * BIG_BYTES);
+	fixture_init(&fixture);
+	fixture.server.budget = &budget;
+	for (i = 0; i < READERS; i++) {
+		fds[i] = connect_raw(
+		    &fixture, "GET /big HTTP/1.1\r\nHost: h\r\n\r\n");
+		run_for(&fixture, 20);
+	}
+	run_for(&fixture, 1500);
+	send_request(&fixture, &exchange, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_for(&fixture, 1000);
+	g_assert_cmpuint(exchange.status, ==, 200);
+	g_assert_cmpuint(fixture.refused[BF_HTTP_REFUSAL_UNREAD], >, 0);
+	g_assert_cmpuint(budget.held_bytes, <=, 4 * BIG_BYTES);
+	for (i = 0; i < READERS; i++)
+		close(fds[i]);
+	run_for(&fixture, 500);
+	fixture_free(&fixture);
+	g_assert_cmpuint(budget.held_bytes, ==, 0);
+}
+
+/*
+ * While only requests that wait for their answers hold memory, nothing more is
+ * read; what waits in the socket is read once there is room.
+ */
+static void
+test_reading_paused(void)
+{
+	const size_t limit_bytes = 1 << 20;
+	bf_memory_budget_t budget;
+	bf_memory_charge_t waiting = { .budget = &budget };
+	exchange_t exchange;
+	fixture_t fixture;
+
+	bf_memory_budget_init(&budget, limit_bytes);
+	bf_memory_charge_set(&waiting, limit_bytes);
+	fixture_init(&fixture);
+	fixture.server.budget = &budget;
+	send_request(&fixture, &exchange, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_for(&fixture, 400);
+	g_assert_cmpuint(fixture.requests, ==, 0);
+	bf_memory_charge_set(&waiting, 0);
+	run_for(&fixture, 100);
+	g_assert_cmpuint(exchange.status, ==, 200);
+	fixture_free(&fixture);
+	g_assert_cmpuint(budget.held_bytes, ==, 0);
+}
+
+/* A stopped body is refused as not run when another one needs its memory. */
+static void
+test_stopped_body_refused(void)
+{
+	static const char part[900000];
+	const size_t spare_bytes = 2 * (size_t)BF_TCP_READ_BYTES;
+	bf_memory_budget_t budget;
+	bf_memory_charge_t waiting = { .budget = &budget };
+	char answer[256] = "";
+	exchange_t exchange;
+	fixture_t fixture;
+	size_t sent = 0;
+	ssize_t n;
+	int fd;
+
+	bf_memory_budget_init(&budget, sizeof(part) + spare_bytes);
+	fixture_init(&fixture);
+	fixture.server.budget = &budget;
+	fd = connect_raw(&fixture,
+	    "POST /hold HTTP/1.1\r\nHost: h\r\nContent-Length: 1000000\r\n\r\n");
+	while (sent < sizeof(part)) {
+		n = send(fd, part + sent, sizeof(part) - sent,
+		    MSG_DONTWAIT | MSG_NOSIGNAL);
+		sent += n > 0 ? (size_t)n : 0;
+		run_for(&fixture, 10);
+	}
+	run_for(&fixture, 600);
+	g_assert_cmpuint(budget.held_bytes, >=, sizeof(part));
+	bf_memory_charge_set(&waiting, spare_bytes);
+	send_request(&fixture, &exchange, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+	run_for(&fixture, 100);
+	g_assert_cmpuint(exchange.status, ==, 200);
+	g_assert_cmpuint(fixture.refused[BF_HTTP_REFUSAL_MEMORY], ==, 1);
+	g_assert_cmpuint(fixture.requests, ==, 1);
+	g_assert_cmpint(
+	    recv(fd, answer, sizeof(answer) - 1, MSG_DONTWAIT), >, 0);
+	g_assert_true(g_str_has_prefix(answer, "HTTP/1.1 503 "));
+	g_assert_nonnull(strstr(answer, "\r\nRetry-After: 1\r\n"));
+	close(fd);
+	bf_memory_charge_set(&waiting, 0);
+	fixture_free(&fixture);
+	g_assert_cmpuint(budget.held_bytes, ==, 0);
+}
+
 /* A kept connection is reused until the server closes it as idle. */
 static void
 test_keep_alive(void)
@@ -699,6 +835,9 @@
 	g_test_add_func("/http/kept-connection", test_keep_alive);
 	g_test_add_func("/http/ends", test_exchange_results);
 	g_test_add_func("/http/slow-head", test_slow_head);
+	g_test_add_func("/http/unread-answers", test_unread_answers);
+	g_test_add_func("/http/reading-paused", test_reading_paused);
+	g_test_add_func("/http/stopped-body", test_stopped_body_refused);
 	g_test_add_func("/http/status-lines", test_status_lines);
 	g_test_add_func("/http/answer-endings", test_answer_endings);
 	return g_test_run();
