--- a/http/message.c
+++ b/http/message.c
@@ -8,6 +8,9 @@
 #define BODY_BYTES_DEFAULT (UINT64_C(64) << 20)
 /* A server that sends more before a final response may never send one. */
 #define INTERIM_RESPONSES_MAX 16
+/* Of the final response; a greater one has no meaning (RFC 9110, 15). */
+#define STATUS_MIN 100
+#define STATUS_MAX 599
 
 bf_http_message_t *
 bf_http_message_new(void)
@@ -20,11 +23,23 @@
 {
 	if (message == NULL)
 		return;
+	if (message->holders > 0) {
+		message->holders--;
+		return;
+	}
 	bf_bytes_free(&message->text);
 	bf_bytes_free(&message->body);
+	bf_memory_charge_set(&message->charge, 0);
 	free(message);
 }
 
+bf_http_message_t *
+bf_http_message_hold(bf_http_message_t *message)
+{
+	message->holders++;
+	return message;
+}
+
 static const char *
 text_at(const bf_http_message_t *message, uint32_t offset)
 {
@@ -113,6 +128,14 @@
 	return false;
 }
 
+void
+bf_http_message_update_charge(bf_http_message_t *message)
+{
+	bf_memory_charge_set(&message->charge,
+	    sizeof(*message) + bf_memory_of(&message->text) +
+		bf_memory_of(&message->body));
+}
+
 static bf_http_reader_t *
 reader_of(http_parser *parser)
 {
@@ -138,6 +161,9 @@
 	reader->in_trailers = false;
 	if (reader->message == NULL)
 		return fail(reader, BF_HTTP_NO_MEMORY);
+	reader->message->charge.budget = reader->budget;
+	reader->message->charge.side = reader->side;
+	bf_http_message_update_charge(reader->message);
 	return 0;
 }
 
@@ -157,6 +183,7 @@
 	if (count_text(reader, bytes) != 0)
 		return -1;
 	bf_bytes_add(&reader->message->text, at, bytes);
+	bf_http_message_update_charge(reader->message);
 	return reader->message->text.failed ? fail(reader, BF_HTTP_NO_MEMORY)
 					    : 0;
 }
@@ -255,6 +282,10 @@
 
 	if (terminate_part(reader) != 0)
 		return -1;
+	if (parser->type == HTTP_RESPONSE &&
+	    (parser->status_code < STATUS_MIN ||
+		parser->status_code > STATUS_MAX))
+		return fail(reader, BF_HTTP_MALFORMED);
 	if (!names_are_tokens(message) || parser->method == HTTP_CONNECT)
 		return fail(reader, BF_HTTP_MALFORMED);
 	/*
@@ -287,6 +318,7 @@
 	if (bf_bytes_count(body) + bytes > reader->body_bytes_max)
 		return fail(reader, BF_HTTP_BODY_TOO_LARGE);
 	bf_bytes_add(body, at, bytes);
+	bf_http_message_update_charge(reader->message);
 	return body->failed ? fail(reader, BF_HTTP_NO_MEMORY) : 0;
 }
 
@@ -301,9 +333,12 @@
 		/* An interim response; the final one follows. */
 		bf_http_message_free(message);
 		reader->interim_count++;
-		return reader->interim_count > INTERIM_RESPONSES_MAX
-		    ? fail(reader, BF_HTTP_MALFORMED)
-		    : 0;
+		if (reader->interim_count > INTERIM_RESPONSES_MAX)
+			return fail(reader, BF_HTTP_MALFORMED);
+		/* The status line of the next one is checked first. */
+		reader->after_interim = true;
+		http_parser_pause(parser, 1);
+		return 0;
 	}
 	if (reader->single_message)
 		http_parser_pause(parser, 1);
@@ -342,6 +377,42 @@
 	reader->message = NULL;
 }
 
+/*
+ * Checks the start of a response's status line; the parser takes any version
+ * and several spaces.  Empty lines in front are skipped.
+ */
+static bool
+check_status_line(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+{
+	static const char form[] = "HTTP/1.# ###";
+	uint32_t at = reader->status_line_bytes;
+	size_t i;
+
+	for (i = 0; i < bytes && form[at] != '\0'; i++) {
+		if (at == 0 && (data[i] == '\r' || data[i] == '\n'))
+			continue;
+		if (form[at] == '#' ? data[i] < '0' || data[i] > '9'
+				    : data[i] != (uint8_t)form[at])
+			return false;
+		at++;
+	}
+	reader->status_line_bytes = at;
+	return true;
+}
+
+/* Parses up to the end of the data or of an interim response. */
+static size_t
+execute(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
+{
+	if (reader->parser.type == HTTP_RESPONSE &&
+	    !check_status_line(reader, data, bytes)) {
+		(void)fail(reader, BF_HTTP_MALFORMED);
+		return 0;
+	}
+	return http_parser_execute(
+	    &reader->parser, &callbacks, (const char *)data, bytes);
+}
+
 bf_http_fault_t
 bf_http_reader_feed(bf_http_reader_t *reader, const uint8_t *data, size_t bytes)
 {
@@ -350,8 +421,13 @@
 
 	if (reader->fault != BF_HTTP_OK)
 		return reader->fault;
-	used = http_parser_execute(
-	    &reader->parser, &callbacks, (const char *)data, bytes);
+	used = execute(reader, data, bytes);
+	while (reader->fault == BF_HTTP_OK && reader->after_interim) {
+		reader->after_interim = false;
+		reader->status_line_bytes = 0;
+		http_parser_pause(&reader->parser, 0);
+		used += execute(reader, data + used, bytes - used);
+	}
 	code = HTTP_PARSER_ERRNO(&reader->parser);
 	if (code == HPE_PAUSED) {
 		reader->has_trailing_bytes = used < bytes;
--- a/http/message.h
+++ b/http/message.h
@@ -8,6 +8,7 @@
 #include <http_parser.h>
 
 #include "base/bytes.h"
+#include "memory/budget.h"
 
 /*
  * A complete HTTP/1.1 message: its header fields as names and values in the
@@ -31,12 +32,19 @@
 	uint32_t method; /* requests: the http_parser constant */
 	uint32_t status; /* responses */
 	bf_bytes_t body;
+	bf_memory_charge_t charge;
+	uint32_t holders; /* besides the owner */
 	bool keep_alive;
 	bool until_close; /* body is delimited by connection close */
 } bf_http_message_t;
 
 bf_http_message_t *bf_http_message_new(void);
+/* Frees the message once as many have called it as hold it, and its owner. */
 void bf_http_message_free(bf_http_message_t *message);
+/* Shares the message, which must not change any more. */
+bf_http_message_t *bf_http_message_hold(bf_http_message_t *message);
+/* Counts what the message holds, after a change of its body. */
+void bf_http_message_update_charge(bf_http_message_t *message);
 
 /* The request target; "" for a response. */
 const char *bf_http_target(const bf_http_message_t *message);
@@ -80,12 +88,16 @@
 	uint64_t head_bytes_max;    /* of the head, and of all trailer fields */
 	uint64_t body_bytes_max;
 	uint64_t head_bytes;
+	uint32_t status_line_bytes; /* of a response, checked so far */
+	bf_memory_budget_t *budget; /* holds the messages; may be NULL */
+	bf_memory_side_t side;
 	uint32_t interim_count; /* responses of status 1xx */
 	bf_http_fault_t fault;
 	bool in_value;         /* the last piece of the head was a value */
 	bool in_trailers;      /* the head is complete */
 	bool single_message;   /* stop after the first message */
 	bool response_to_head; /* the response to a HEAD request has no body */
+	bool after_interim;    /* the next response has not begun */
 	bool has_trailing_bytes; /* after a single_message */
 };
 
--- a/http/server.h
+++ b/http/server.h
@@ -14,6 +14,13 @@
 typedef struct bf_http_conn bf_http_conn_t;
 typedef struct bf_http_request bf_http_request_t;
 
+typedef enum bf_http_refusal {
+	BF_HTTP_REFUSAL_MEMORY,
+	BF_HTTP_REFUSAL_SLOW,
+	BF_HTTP_REFUSAL_TOO_LONG,
+	BF_HTTP_REFUSAL_UNREAD
+} bf_http_refusal_t;
+
 typedef struct bf_http_server_vtable {
 	/* A request is complete; answer it by bf_http_answer, now or later. */
 	void (*request)(bf_http_server_t *server, bf_http_request_t *request,
@@ -26,6 +33,13 @@
 	 */
 	void (*abandoned)(bf_http_server_t *server, bf_http_request_t *request,
 	    bf_time_us_t now_us);
+	/*
+	 * A request was refused before it was complete, as nothing was left of
+	 * the memory budget, or for its minimum rate or its length, or an
+	 * answer that is not read was given up.  May be NULL.
+	 */
+	void (*body_refused)(bf_http_server_t *server, bf_http_refusal_t reason,
+	    const struct sockaddr_in *from, bf_time_us_t now_us);
 } bf_http_server_vtable_t;
 
 struct bf_http_request {
@@ -37,6 +51,7 @@
 	bf_time_us_t head_received_at_us;
 	void *user; /* set by the request callback; may be NULL */
 	bf_bytes_t answer;
+	bf_memory_charge_t answer_charge;
 	bool answered;
 	bool close_after;
 };
@@ -57,8 +72,10 @@
 	bf_http_conn_t *conns;
 	bf_http_limits_t limits;
 	uint32_t conn_count;
-	uint32_t conn_max; /* 0: no limit */
-	bool draining;     /* each answer closes its connection */
+	uint32_t conn_max;          /* 0: no limit */
+	bool draining;              /* each answer closes its connection */
+	bf_memory_budget_t *budget; /* set before opening; may be NULL */
+	bf_time_us_t swept_us;
 };
 
 /* Starts to listen.  vtable, limits and conn_max must be set before. */
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -227,6 +227,7 @@
 	const bf_bytes_t *head; /* request line and fields, no empty line */
 	const void *body;
 	size_t body_bytes;
+	bf_http_message_t *message; /* with the body; NULL: from a peer */
 	bool has_body;
 	bool body_follows;   /* in parts, when the receiver requests them */
 	uint64_t account_id; /* of the caller's account; 0: none */
@@ -381,6 +382,8 @@
 	bf_metric_family_t *freshness;   /* age and refusal */
 	bf_metric_family_t *freshness_asks; /* by result */
 	bf_metric_family_t *iteration;      /* of the event loop */
+	bf_metric_family_t *memory;         /* bytes held, by side */
+	bf_metric_family_t *refused_bodies; /* by reason */
 	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
 } bf_mesh_metrics_t;
 
@@ -407,6 +410,7 @@
 	uint64_t incarnation;
 	bf_wire_writer_t writer; /* reused for every frame sent */
 
+	bf_memory_budget_t memory; /* what others make the process hold */
 	bf_http_server_t caller_server;
 	bf_listener_t peer_listener;
 
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "mesh/internal.h"
 
@@ -79,6 +80,12 @@
 	m->iteration = bf_metrics_add(set, BF_METRIC_HISTOGRAM,
 	    "bf_loop_microseconds",
 	    "Time of an iteration of the event loop, without its wait", NULL);
+	m->memory = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_memory_bytes",
+	    "Bytes held for callers, the target and other nodes", "side");
+	m->refused_bodies =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_refused_bodies_total",
+		"Bodies and answers that were given up to bound the memory",
+		"reason");
 	m->unsent = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_unsent_bytes",
 	    "Bytes that wait to be sent to other nodes", "figure");
 }
@@ -97,6 +104,17 @@
 		    (json_int_t)took_us);
 }
 
+/* Memory of the instance: as set, else that of the machine. */
+static uint64_t
+memory_bytes(const bf_mesh_options_t *options)
+{
+	long pages = sysconf(_SC_PHYS_PAGES), bytes = sysconf(_SC_PAGESIZE);
+
+	if (options->memory_mb != 0)
+		return (uint64_t)options->memory_mb << 20;
+	return pages > 0 && bytes > 0 ? (uint64_t)pages * (uint64_t)bytes : 0;
+}
+
 bf_mesh_t *
 bf_mesh_new(const bf_mesh_options_t *options, const bf_dialect_t *dialect,
     bf_loop_t *loop, bf_kv_t *kv, bf_events_t *events,
@@ -128,6 +146,8 @@
 	mesh->offered_calls = apr_hash_make(mesh->pool);
 	mesh->caller_server.listener.source.fd = -1;
 	mesh->peer_listener.source.fd = -1;
+	bf_memory_budget_init(
+	    &mesh->memory, bf_memory_budget_limit(memory_bytes(options)));
 	bf_wire_writer_init(&mesh->writer);
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
@@ -317,6 +337,13 @@
 		else
 			open++;
 	}
+	bf_metric_set(
+	    m->memory, "callers", mesh->memory.held_by_side[BF_MEMORY_CALLERS]);
+	bf_metric_set(
+	    m->memory, "target", mesh->memory.held_by_side[BF_MEMORY_TARGET]);
+	bf_metric_set(
+	    m->memory, "peers", mesh->memory.held_by_side[BF_MEMORY_PEERS]);
+	bf_metric_set(m->memory, "limit", mesh->memory.limit_bytes);
 	bf_metric_set(m->unsent, "all_connections", unsent);
 	bf_metric_set(m->unsent, "fullest_connection", most_unsent);
 	bf_metric_set(m->peers, "open", open);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -7,9 +7,12 @@
 
 #include "net/tcp.h"
 
-/* Size of one read; larger input takes several iterations of the loop. */
-#define READ_BYTES 65536
 #define LISTEN_BACKLOG 1024
+/*
+ * Receive buffer of a connection that has been paused: the kernel would let it
+ * grow to several MB, which count against the machine's memory too.
+ */
+#define PAUSED_RECEIVE_BYTES 65536
 #define ACCEPTS_PER_EVENT_MAX 64
 /* A connection fails when sent bytes stay unacknowledged this long. */
 #define UNACKED_TIMEOUT_MS 3000U
@@ -23,31 +26,62 @@
 	tcp->vtable->ended(tcp, orderly, now_us);
 }
 
+/* Sets the events to wait for. */
+static void
+update_events(bf_tcp_t *tcp)
+{
+	bf_loop_change(tcp->loop, &tcp->source,
+	    (tcp->paused ? 0 : READ_EVENTS) |
+		(tcp->blocked ? (uint32_t)EPOLLOUT : 0));
+}
+
+static void
+pause_reading(bf_tcp_t *tcp)
+{
+	int bytes = PAUSED_RECEIVE_BYTES;
+
+	tcp->paused = true;
+	(void)setsockopt(
+	    tcp->source.fd, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof(bytes));
+	update_events(tcp);
+}
+
 static bool
 flush(bf_tcp_t *tcp)
 {
+	const uint8_t *data;
+	size_t bytes;
+	bool in_tail;
 	ssize_t n;
 
-	while (bf_bytes_count(&tcp->out) > 0) {
-		n = send(tcp->source.fd, bf_bytes_data(&tcp->out),
-		    bf_bytes_count(&tcp->out), MSG_NOSIGNAL);
+	while (bf_tcp_unsent(tcp) > 0) {
+		in_tail = bf_bytes_count(&tcp->out) == 0;
+		data = in_tail ? tcp->tail : bf_bytes_data(&tcp->out);
+		bytes = in_tail ? tcp->tail_bytes : bf_bytes_count(&tcp->out);
+		n = send(tcp->source.fd, data, bytes, MSG_NOSIGNAL);
 		if (n < 0 && errno == EINTR)
 			continue;
 		if (n < 0 && errno == EAGAIN) {
-			if (!tcp->blocked)
-				bf_loop_change(tcp->loop, &tcp->source,
-				    READ_EVENTS | EPOLLOUT);
-			tcp->blocked = true;
+			if (!tcp->blocked) {
+				tcp->blocked = true;
+				update_events(tcp);
+			}
 			return true;
 		}
 		if (n < 0)
 			return false;
 		tcp->sent_bytes += (uint64_t)n;
-		bf_bytes_consume(&tcp->out, (size_t)n);
+		if (in_tail) {
+			tcp->tail += n;
+			tcp->tail_bytes -= (size_t)n;
+		} else {
+			bf_bytes_consume(&tcp->out, (size_t)n);
+		}
+	}
+	if (tcp->blocked) {
+		tcp->blocked = false;
+		update_events(tcp);
 	}
-	if (tcp->blocked)
-		bf_loop_change(tcp->loop, &tcp->source, READ_EVENTS);
-	tcp->blocked = false;
 	return true;
 }
 
@@ -62,11 +96,14 @@
 		 */
 		tcp->send_failed = true;
 		bf_bytes_clear(&tcp->out);
+		tcp->tail_bytes = 0;
+		bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
 		if (tcp->close_when_flushed)
 			close_and_report(tcp, false, now_us);
 		return;
 	}
-	if (tcp->close_when_flushed && bf_bytes_count(&tcp->out) == 0)
+	bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
+	if (tcp->close_when_flushed && bf_tcp_unsent(tcp) == 0)
 		close_and_report(tcp, true, now_us);
 }
 
@@ -101,7 +138,7 @@
 static void
 read_once(bf_tcp_t *tcp, bf_time_us_t now_us)
 {
-	static uint8_t buffer[READ_BYTES];
+	static uint8_t buffer[BF_TCP_READ_BYTES];
 	ssize_t n;
 
 	do
@@ -133,7 +170,18 @@
 	}
 	if ((events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
 		tcp->peer_closed = true;
-	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+	if ((events & (EPOLLIN | EPOLLRDHUP | EPOLLHUP | EPOLLERR)) == 0)
+		return;
+	/* A connection that has failed is read to its end, which closes it. */
+	if ((events & (EPOLLHUP | EPOLLERR)) == 0 &&
+	    tcp->vtable->may_read != NULL &&
+	    !tcp->vtable->may_read(tcp, now_us)) {
+		if (bf_tcp_is_open(tcp)) {
+			pause_reading(tcp);
+		}
+		return;
+	}
+	if (bf_tcp_is_open(tcp))
 		read_once(tcp, now_us);
 }
 
@@ -195,8 +243,10 @@
 void
 bf_tcp_schedule_flush(bf_tcp_t *tcp)
 {
-	if (bf_tcp_is_open(tcp))
-		bf_loop_defer(tcp->loop, &tcp->flush);
+	if (!bf_tcp_is_open(tcp))
+		return;
+	bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
+	bf_loop_defer(tcp->loop, &tcp->flush);
 }
 
 void
@@ -214,6 +264,8 @@
 	close(tcp->source.fd);
 	tcp->source.fd = -1;
 	bf_bytes_free(&tcp->out);
+	tcp->tail_bytes = 0;
+	bf_memory_charge_set(&tcp->out_charge, 0);
 }
 
 void
@@ -228,6 +280,15 @@
 	bf_tcp_close(tcp);
 }
 
+void
+bf_tcp_resume(bf_tcp_t *tcp)
+{
+	if (!bf_tcp_is_open(tcp) || !tcp->paused)
+		return;
+	tcp->paused = false;
+	update_events(tcp);
+}
+
 void
 bf_tcp_finish(bf_tcp_t *tcp)
 {
--- a/observe/events.h
+++ b/observe/events.h
@@ -39,13 +39,14 @@
 	BF_EVENT_RAN,            /* target's node: the target ran a call */
 	BF_EVENT_REFUSED,        /* target's node: refused a call */
 	BF_EVENT_CANCELLED,
-	BF_EVENT_UNCLAIMED,  /* entry node: a reply to a cancelled offer */
-	BF_EVENT_FRAME_LATE, /* a frame waited long for its link or its reader
-			      */
-	BF_EVENT_STALL,      /* an iteration of the event loop took long */
-	BF_EVENT_CAPS,       /* this node's part in sharing usage caps */
-	BF_EVENT_EVACUATION, /* the set of evacuated zones changed */
-	BF_EVENT_COLD,       /* the own target became cold or warm */
+	BF_EVENT_UNCLAIMED, /* entry node: a reply to a cancelled offer */
+	/* A frame waited long for its link or its reader. */
+	BF_EVENT_FRAME_LATE,
+	BF_EVENT_BODY_REFUSED, /* entry node: a body took too much memory */
+	BF_EVENT_STALL,        /* an iteration of the event loop took long */
+	BF_EVENT_CAPS,         /* this node's part in sharing usage caps */
+	BF_EVENT_EVACUATION,   /* the set of evacuated zones changed */
+	BF_EVENT_COLD,         /* the own target became cold or warm */
 	BF_EVENT_KIND_COUNT
 } bf_event_kind_t;
 
