Share a full target's slot time among accounts

The queue ordered calls of equal priority by objective, so an account was served in proportion to what it sent and the excess of one took the capacity of all.

The queue now takes the next call from the account with the least slot time for its weight (start-time fair queueing, fairness/shares.h). The expected wait on arrival counts rivals only up to the account's turn, and a waiting call that can no longer start in time is refused at once ("displaced"). Calls of targets are charged but stay ordered by objective.

--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -594,11 +594,19 @@
 	return (bf_time_us_t)target->class_run_us[class_index];
 }
 
+static bool
+is_shared(const bf_sim_t *sim)
+{
+	return sim->pattern->account_count > 0 &&
+	    sim->policy != BF_POLICY_UNSHARED;
+}
+
 /* A call arrives at the node beside the target. */
 static void
 handle_offer(bf_sim_t *sim, bf_sim_call_t *call)
 {
 	bf_sim_target_t *target = &sim->targets[call->target];
+	bf_queued_call_t *displaced;
 
 	if (!uses_call_queue(sim)) {
 		if (target->running < target->call_queue.slots)
@@ -613,6 +621,7 @@
 		.inner = call->parent != NULL,
 		.priority = call->parent != NULL ? call->parent->class->priority
 						 : call->class->priority,
+		.account = is_shared(sim) ? call->account + 1 : 0,
 		.objective_at_us = call->objective_at_us,
 		.deadline_at_us = call->deadline_at_us,
 		.expected_run_us =
@@ -624,6 +633,10 @@
 		begin_run(sim, call);
 		break;
 	case BF_QUEUE_DECISION_WAIT:
+		while ((displaced = bf_call_queue_take_displaced(
+			    &target->call_queue, sim->now_us)) != NULL)
+			send_reply(
+			    sim, (bf_sim_call_t *)(void *)displaced, true);
 		break;
 	case BF_QUEUE_DECISION_REFUSE:
 		send_reply(sim, call, true);
--- a/mesh/call_queue.c
+++ b/mesh/call_queue.c
@@ -54,9 +54,57 @@
 		return a->priority < b->priority;
 	if (a->inner != b->inner)
 		return a->inner;
+	if (!a->inner && a->account != b->account && a->share != NULL &&
+	    b->share != NULL && a->share->tag_us != b->share->tag_us)
+		return a->share->tag_us < b->share->tag_us;
 	return a->objective_at_us < b->objective_at_us;
 }
 
+/* Whether the two share a target's slot time as calls of other accounts. */
+static bool
+is_of_rival(const bf_queued_call_t *call, const bf_queued_call_t *other,
+    bf_time_us_t now_us)
+{
+	return other->share != NULL && other->account != call->account &&
+	    other->priority == call->priority && !call->inner &&
+	    !other->inner && is_late(other, now_us) == is_late(call, now_us);
+}
+
+/*
+ * Sum of the expected run times of calls of other accounts that start before
+ * the call.  Its account's turn comes at its tag and the slot time of its own
+ * calls ahead; until then another account gets at most the slot time by which
+ * its tag is behind.
+ */
+static double
+rival_work_us(const bf_call_queue_t *queue, const bf_queued_call_t *call,
+    double own_us, bf_time_us_t now_us)
+{
+	double turn_us, due_us, work_us = 0;
+	const bf_queued_call_t *other;
+	bf_fair_share_t *share;
+
+	turn_us = own_us / (call->weight > 0 ? call->weight : 1) +
+	    bf_fair_shares_tag(&queue->shares, call->account, call->priority);
+	TAILQ_FOREACH(other, &queue->list, link)
+	{
+		if (other->share != NULL)
+			other->share->ahead_us = 0;
+	}
+	TAILQ_FOREACH(other, &queue->list, link)
+	{
+		if (!is_of_rival(call, other, now_us))
+			continue;
+		share = other->share;
+		due_us = (turn_us - share->tag_us) * share->weight;
+		if (share->ahead_us >= due_us)
+			continue;
+		share->ahead_us += (double)other->expected_run_us;
+		work_us += (double)other->expected_run_us;
+	}
+	return work_us;
+}
+
 /*
  * Returns the sum of the expected run times of the queued calls that are
  * counted as starting before the new call: those that it does not precede and,
@@ -69,19 +117,28 @@
     bf_time_us_t now_us)
 {
 	double urgent_us = 0, same_us = 0, lower_us = 0, bound_us;
+	double own_us = 0;
 	const bf_queued_call_t *other;
+	bool has_rivals = false;
 
 	TAILQ_FOREACH(other, &queue->list, link)
 	{
 		if (other->priority > call->priority && !is_late(other, now_us))
 			lower_us += (double)other->expected_run_us;
-		else if (precedes(call, other, now_us))
+		else if (other != call && is_of_rival(call, other, now_us))
+			has_rivals = true;
+		else if (other == call || precedes(call, other, now_us))
 			continue;
 		else if (other->priority < call->priority)
 			urgent_us += (double)other->expected_run_us;
-		else
+		else {
 			same_us += (double)other->expected_run_us;
+			if (other->account == call->account)
+				own_us += (double)other->expected_run_us;
+		}
 	}
+	if (has_rivals)
+		same_us += rival_work_us(queue, call, own_us, now_us);
 	if (is_late(call, now_us))
 		return urgent_us + same_us;
 	/*
@@ -141,6 +198,8 @@
 static void
 begin_run(bf_call_queue_t *queue, bf_queued_call_t *call, bf_time_us_t now_us)
 {
+	bf_fair_shares_charge(
+	    &queue->shares, call->share, (double)call->expected_run_us);
 	call->started_at_us = now_us;
 	queue->running++;
 	queue->started_at_sum_us += (double)now_us;
@@ -154,6 +213,8 @@
 	bf_time_us_t start_at_us;
 
 	if (queue->running < queue->slots && queue->count == 0) {
+		call->share = bf_fair_shares_hold(&queue->shares, call->account,
+		    call->priority, call->weight);
 		begin_run(queue, call, now_us);
 		return BF_QUEUE_DECISION_START;
 	}
@@ -162,6 +223,9 @@
 	    now_us + bf_call_queue_expected_wait_us(queue, call, now_us);
 	if (queue->slots == 0 || start_at_us > call->expires_at_us)
 		return BF_QUEUE_DECISION_REFUSE;
+	call->share = bf_fair_shares_hold(
+	    &queue->shares, call->account, call->priority, call->weight);
+	bf_fair_shares_begin_wait(&queue->shares, call->share);
 	TAILQ_INSERT_TAIL(&queue->list, call, link);
 	queue->count++;
 	return BF_QUEUE_DECISION_WAIT;
@@ -172,6 +236,16 @@
 {
 	TAILQ_REMOVE(&queue->list, call, link);
 	queue->count--;
+	bf_fair_shares_end_wait(call->share);
+}
+
+/* Takes out a call that does not start. */
+static void
+drop_call(bf_call_queue_t *queue, bf_queued_call_t *call)
+{
+	remove_call(queue, call);
+	bf_fair_shares_release(call->share);
+	call->share = NULL;
 }
 
 /* The first on-time call of a lower priority than that of best. */
@@ -216,8 +290,8 @@
 		if (queue->lower_credit_us > LOWER_CREDIT_US_MAX)
 			queue->lower_credit_us = LOWER_CREDIT_US_MAX;
 	}
-	remove_call(queue, best);
 	begin_run(queue, best, now_us);
+	remove_call(queue, best);
 	return best;
 }
 
@@ -229,17 +303,40 @@
 	TAILQ_FOREACH(call, &queue->list, link)
 	{
 		if (now_us > call->expires_at_us) {
-			remove_call(queue, call);
+			drop_call(queue, call);
 			return call;
 		}
 	}
 	return NULL;
 }
 
+bf_queued_call_t *
+bf_call_queue_take_displaced(bf_call_queue_t *queue, bf_time_us_t now_us)
+{
+	bf_queued_call_t *newest, *last = NULL, *call;
+
+	newest = TAILQ_LAST(&queue->list, bf_queued_call_list);
+	if (newest == NULL)
+		return NULL;
+	TAILQ_FOREACH(call, &queue->list, link)
+	{
+		/* A target does not retry the calls that it makes. */
+		if (!call->inner && is_of_rival(newest, call, now_us) &&
+		    (last == NULL || precedes(last, call, now_us)))
+			last = call;
+	}
+	if (last == NULL || precedes(last, newest, now_us) ||
+	    now_us + bf_call_queue_expected_wait_us(queue, last, now_us) <=
+		last->expires_at_us)
+		return NULL;
+	drop_call(queue, last);
+	return last;
+}
+
 void
 bf_call_queue_remove(bf_call_queue_t *queue, bf_queued_call_t *call)
 {
-	remove_call(queue, call);
+	drop_call(queue, call);
 }
 
 bf_time_us_t
@@ -260,8 +357,13 @@
 
 void
 bf_call_queue_end_run(
-    bf_call_queue_t *queue, const bf_queued_call_t *call, bf_time_us_t spent_us)
+    bf_call_queue_t *queue, bf_queued_call_t *call, bf_time_us_t spent_us)
 {
+	if (spent_us >= 0)
+		bf_fair_shares_correct(
+		    call->share, (double)(spent_us - call->expected_run_us));
+	bf_fair_shares_release(call->share);
+	call->share = NULL;
 	queue->running--;
 	queue->started_at_sum_us -= (double)call->started_at_us;
 	queue->expected_run_sum_us -= (double)call->expected_run_us;
--- a/mesh/call_queue.h
+++ b/mesh/call_queue.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "base/clock.h"
+#include "fairness/shares.h"
 
 /*
  * Queue of calls at the node beside a target: decides which call gets the next
@@ -24,6 +25,11 @@
  * stream of more urgent calls can't starve them.  Calls that can no longer
  * meet their objective get the slots that are left, and are refused while their
  * caller still has time to retry.
+ *
+ * Calls that are equal in lateness, priority and origin (made by a target or
+ * not) are taken from the account that got the least slot time for its weight
+ * (fairness/shares.h), and from one account by objective.  A deployment without
+ * accounts has account 0 only, which leaves the order by objective.
  */
 
 typedef struct bf_queued_call bf_queued_call_t;
@@ -31,11 +37,14 @@
 	TAILQ_ENTRY(bf_queued_call) link;
 	bool inner;                   /* made by a target that waits for it */
 	uint32_t priority;            /* 0 is the most urgent */
+	uint64_t account;             /* 0: none */
+	uint32_t weight;              /* of the account; 0 counts as 1 */
 	bf_time_us_t objective_at_us; /* an answer until then is on time */
 	bf_time_us_t deadline_at_us;  /* an answer after it is useless */
 	bf_time_us_t expires_at_us;   /* refused if not started by then */
 	bf_time_us_t expected_run_us; /* at the target */
 	bf_time_us_t started_at_us;   /* set when it gets a slot */
+	bf_fair_share_t *share; /* of its account while queued or running */
 };
 
 TAILQ_HEAD(bf_queued_call_list, bf_queued_call);
@@ -51,6 +60,7 @@
 	double expected_run_sum_us;
 	double lower_credit_us; /* slot time due to calls of lower priority */
 	struct bf_queued_call_list list;
+	bf_fair_shares_t shares;
 } bf_call_queue_t;
 
 typedef enum bf_queue_decision {
@@ -87,6 +97,14 @@
 bf_queued_call_t *bf_call_queue_take_expired(
     bf_call_queue_t *queue, bf_time_us_t now_us);
 
+/*
+ * Takes out a call that will not get a slot in time because calls of another
+ * account come first; NULL: there is none.  To be called after a call was
+ * queued, so that the displaced caller can return while it has the time.
+ */
+bf_queued_call_t *bf_call_queue_take_displaced(
+    bf_call_queue_t *queue, bf_time_us_t now_us);
+
 /* Takes out a call that its caller cancelled. */
 void bf_call_queue_remove(bf_call_queue_t *queue, bf_queued_call_t *call);
 
@@ -97,8 +115,8 @@
  * Frees the slot of a call.  spent_us is its time at the target, or less than
  * 0 when that is not to be counted into the mean.
  */
-void bf_call_queue_end_run(bf_call_queue_t *queue, const bf_queued_call_t *call,
-    bf_time_us_t spent_us);
+void bf_call_queue_end_run(
+    bf_call_queue_t *queue, bf_queued_call_t *call, bf_time_us_t spent_us);
 
 /*
  * Mean time of a call at the target: that of the calls that have ended or, if
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -72,6 +72,7 @@
 	bool dependency_busy; /* a call that its run made was refused as busy */
 	bool receiving;       /* its body, before it is queued */
 	bool waiting;
+	bool displaced;  /* by calls of another account, while it waited */
 	bool confirming; /* has a slot, but its entry was not heard of */
 	bool running;
 	bf_time_us_t arrived_us;
@@ -272,14 +273,17 @@
 		.expected_wait_us = bf_call_queue_expected_wait_us(
 		    &mesh->target.queue, &call->queued, now_us),
 	};
+	/* To its entry, a displaced call was refused as busy. */
+	const char *reason =
+	    call->displaced ? "displaced" : bf_cause_name(cause);
 
-	bf_metric_count(mesh->metrics.runs, bf_cause_name(cause), 1);
+	bf_metric_count(mesh->metrics.runs, reason, 1);
 	if (reply.waited_us > 0 ||
 	    bf_events_sampled(mesh->events, call->request_id))
 		bf_event(mesh->events, BF_EVENT_REFUSED, now_us,
 		    "s:s,s:s,s:s,s:I,s:i,s:i,s:I,s:I", "call", call->request_id,
-		    "route", call->route, "cause", bf_cause_name(cause),
-		    "waited_us", (json_int_t)reply.waited_us, "running",
+		    "route", call->route, "cause", reason, "waited_us",
+		    (json_int_t)reply.waited_us, "running",
 		    (int)mesh->target.queue.running, "waiting",
 		    (int)mesh->target.queue.count, "room_in_us",
 		    (json_int_t)reply.expected_wait_us, "left_us",
@@ -768,6 +772,21 @@
 	return BF_CAUSE_NONE;
 }
 
+/* Refuses the calls that a call just queued keeps from starting in time. */
+static void
+refuse_displaced(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	bf_queued_call_t *queued;
+	bf_target_call_t *call;
+
+	while ((queued = bf_call_queue_take_displaced(
+		    &mesh->target.queue, now_us)) != NULL) {
+		call = (bf_target_call_t *)(void *)queued;
+		call->displaced = true;
+		refuse(call, BF_CAUSE_BUSY, now_us);
+	}
+}
+
 /* Runs a call that is complete, queues it or refuses it. */
 static void
 admit(bf_target_call_t *call, bool refuse_if_late, bf_time_us_t now_us)
@@ -782,6 +801,7 @@
 	case BF_QUEUE_DECISION_WAIT:
 		call->waiting = true;
 		start_expiry_timer(mesh, now_us);
+		refuse_displaced(mesh, now_us);
 		break;
 	case BF_QUEUE_DECISION_START:
 		send_call(call, now_us);
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -103,6 +103,69 @@
 	bf_pattern_free(pattern);
 }
 
+/* Served share of the calls of each account, of five seeds. */
+static uint32_t
+served_shares(const char *name, bf_policy_t policy, double *shares)
+{
+	uint64_t calls[BF_PATTERN_ACCOUNTS_MAX] = { 0 };
+	uint64_t served[BF_PATTERN_ACCOUNTS_MAX] = { 0 };
+	bf_sim_result_t result;
+	bf_pattern_t *pattern;
+	bf_error_t err;
+	uint64_t seed;
+	uint32_t i;
+
+	pattern = bf_pattern_read(name, &err);
+	g_assert_nonnull(pattern);
+	for (seed = 1; seed <= 5; seed++) {
+		bf_pattern_simulate(pattern, policy, 0, seed, &result);
+		for (i = 0; i < result.account_count; i++) {
+			calls[i] += result.accounts[i].calls;
+			served[i] += result.accounts[i].served;
+		}
+	}
+	for (i = 0; i < result.account_count; i++) {
+		g_assert_cmpuint(calls[i], >, 0);
+		shares[i] = (double)served[i] / (double)calls[i];
+	}
+	bf_pattern_free(pattern);
+	return result.account_count;
+}
+
+#define FLOODING_ACCOUNT 1 /* in flood.pattern */
+#define LEAST_OF_BEST_SERVED 0.5
+
+/*
+ * An account that sends seven times its calls bears the cost: each other one,
+ * which asks within its share, is served at least half as often as any, and
+ * more often than in a queue without shares.
+ */
+static void
+test_flooding_account(void)
+{
+	double shared[BF_PATTERN_ACCOUNTS_MAX], best = 0;
+	double unshared[BF_PATTERN_ACCOUNTS_MAX];
+	double shared_sum = 0, unshared_sum = 0;
+	uint32_t count, i;
+
+	count = served_shares(FOLDER "/flood.pattern", BF_POLICY_MESH, shared);
+	served_shares(FOLDER "/flood.pattern", BF_POLICY_UNSHARED, unshared);
+	g_assert_cmpuint(count, ==, 79);
+	for (i = 0; i < count; i++)
+		best = shared[i] > best ? shared[i] : best;
+	for (i = 0; i < count; i++) {
+		if (i == FLOODING_ACCOUNT)
+			continue;
+		g_assert_cmpfloat(shared[i], >=, LEAST_OF_BEST_SERVED * best);
+		g_assert_cmpfloat(shared[i], >, shared[FLOODING_ACCOUNT]);
+		shared_sum += shared[i];
+		unshared_sum += unshared[i];
+	}
+	g_assert_cmpfloat(shared_sum, >, unshared_sum);
+	g_assert_cmpfloat(
+	    shared[FLOODING_ACCOUNT], <, unshared[FLOODING_ACCOUNT]);
+}
+
 static void
 test_bad_pattern(void)
 {
@@ -121,6 +184,7 @@
 	g_test_add_func("/replay/small", test_small);
 	g_test_add_func("/replay/large", test_large);
 	g_test_add_func("/replay/no-class-starves", test_no_class_starves);
+	g_test_add_func("/replay/flooding-account", test_flooding_account);
 	g_test_add_func("/replay/bad-pattern", test_bad_pattern);
 	return g_test_run();
 }
