--- a/mesh/target.c
+++ b/mesh/target.c
@@ -745,6 +745,7 @@
 		.queued = {
 		    .inner = offer->inner,
 		    .priority = offer->priority,
+		    .account = offer->account_id,
 		    .objective_at_us = now_us + offer->objective_remaining_us,
 		    .deadline_at_us = now_us + offer->remaining_us,
 		    .expected_run_us = expected_run_us(&mesh->target, offer->route),
