Keep slots for short, urgent calls from long runs

A burst of long runs of the lowest priority filled all slots of a service. Runs cannot be preempted, so calls made by targets missed their objective and their parents failed or held slots of another service.

The queue limits the slots of long, less urgent runs to what the recent arrivals of shorter and more urgent calls leave (fairness/reserve.h); long calls that the limit would make late are refused on arrival ("reserved"). It takes effect only in a configuration with accounts.

--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -601,6 +601,8 @@
 	    sim->policy != BF_POLICY_UNSHARED;
 }
 
+static void start_next_run(bf_sim_t *sim, uint32_t index);
+
 /* A call arrives at the node beside the target. */
 static void
 handle_offer(bf_sim_t *sim, bf_sim_call_t *call)
@@ -654,9 +656,8 @@
 		while ((next = bf_call_queue_take_expired(
 			    &target->call_queue, sim->now_us)) != NULL)
 			send_reply(sim, (bf_sim_call_t *)(void *)next, true);
-		next =
-		    bf_call_queue_start_next(&target->call_queue, sim->now_us);
-		if (next != NULL)
+		while ((next = bf_call_queue_start_next(
+			    &target->call_queue, sim->now_us)) != NULL)
 			begin_run(sim, (bf_sim_call_t *)(void *)next);
 		return;
 	}
@@ -949,6 +950,7 @@
 		abort();
 	for (i = 0; i < sim->nodes; i++) {
 		bf_call_queue_init(&sim->targets[i].call_queue, p->slots);
+		sim->targets[i].call_queue.keeps_reserve = is_shared(sim);
 		sim->targets[i].speed = p->speeds[i % p->speed_count];
 		sim->capacity += sim->targets[i].speed * p->slots;
 		sim->next_target[i] = i;
--- a/mesh/call_queue.c
+++ b/mesh/call_queue.c
@@ -158,18 +158,50 @@
 	return urgent_us + same_us + lower_us;
 }
 
+/* Whether the reserve leaves a slot to the call. */
+static bool
+has_slot(const bf_call_queue_t *queue, const bf_queued_call_t *call)
+{
+	return queue->running < queue->slots &&
+	    bf_reserve_permits(&queue->reserve, call->kind, queue->slots);
+}
+
+/* Expected wait of a call that the reserve keeps from taking a slot. */
+static double
+reserve_wait_us(const bf_call_queue_t *queue, const bf_queued_call_t *call,
+    bf_time_us_t now_us)
+{
+	double work_us = (double)call->expected_run_us;
+	const bf_queued_call_t *other;
+
+	if (bf_reserve_permits(&queue->reserve, call->kind, queue->slots))
+		return 0;
+	TAILQ_FOREACH(other, &queue->list, link)
+	{
+		if (bf_reserve_counts_in(other->kind, call->kind) &&
+		    !precedes(call, other, now_us))
+			work_us += (double)other->expected_run_us;
+	}
+	return work_us /
+	    bf_reserve_limit(&queue->reserve, call->kind, queue->slots);
+}
+
 bf_time_us_t
 bf_call_queue_expected_wait_us(const bf_call_queue_t *queue,
     const bf_queued_call_t *call, bf_time_us_t now_us)
 {
-	if (queue->running < queue->slots && queue->count == 0)
-		return 0;
+	double wait_us, kept_us;
+
 	if (queue->slots == 0)
 		return (bf_time_us_t)queue->mean_run_us;
+	kept_us = reserve_wait_us(queue, call, now_us);
+	if (queue->running < queue->slots &&
+	    (queue->count == 0 || queue->keeps_reserve))
+		return (bf_time_us_t)kept_us;
 	/* With all slots busy, one becomes free every mean_run_us / slots. */
-	return (bf_time_us_t)((work_ahead_us(queue, call, now_us) +
-				  queue->mean_run_us) /
-	    queue->slots);
+	wait_us = (work_ahead_us(queue, call, now_us) + queue->mean_run_us) /
+	    queue->slots;
+	return (bf_time_us_t)(wait_us > kept_us ? wait_us : kept_us);
 }
 
 /*
@@ -201,18 +233,38 @@
 	bf_fair_shares_charge(
 	    &queue->shares, call->share, (double)call->expected_run_us);
 	call->started_at_us = now_us;
+	if (call->kind != NULL)
+		call->kind->running++;
 	queue->running++;
 	queue->started_at_sum_us += (double)now_us;
 	queue->expected_run_sum_us += (double)call->expected_run_us;
 }
 
+/* Whether a call that waits could start: without a reserve, any could. */
+static bool
+has_startable(const bf_call_queue_t *queue)
+{
+	const bf_queued_call_t *call;
+
+	TAILQ_FOREACH(call, &queue->list, link)
+	{
+		if (has_slot(queue, call))
+			return true;
+	}
+	return false;
+}
+
 bf_queue_decision_t
 bf_call_queue_admit(bf_call_queue_t *queue, bf_queued_call_t *call,
     bool on_time, bf_time_us_t now_us)
 {
 	bf_time_us_t start_at_us;
 
-	if (queue->running < queue->slots && queue->count == 0) {
+	call->kind = queue->keeps_reserve
+	    ? bf_reserve_count_arrival(&queue->reserve, call->priority,
+		  call->inner, call->expected_run_us, now_us)
+	    : NULL;
+	if (has_slot(queue, call) && !has_startable(queue)) {
 		call->share = bf_fair_shares_hold(&queue->shares, call->account,
 		    call->priority, call->weight);
 		begin_run(queue, call, now_us);
@@ -226,6 +278,8 @@
 	call->share = bf_fair_shares_hold(
 	    &queue->shares, call->account, call->priority, call->weight);
 	bf_fair_shares_begin_wait(&queue->shares, call->share);
+	if (call->kind != NULL)
+		call->kind->waiting++;
 	TAILQ_INSERT_TAIL(&queue->list, call, link);
 	queue->count++;
 	return BF_QUEUE_DECISION_WAIT;
@@ -236,6 +290,8 @@
 {
 	TAILQ_REMOVE(&queue->list, call, link);
 	queue->count--;
+	if (call->kind != NULL)
+		call->kind->waiting--;
 	bf_fair_shares_end_wait(call->share);
 }
 
@@ -257,7 +313,8 @@
 
 	TAILQ_FOREACH(call, &queue->list, link)
 	{
-		if (call->priority <= best->priority || is_late(call, now_us))
+		if (call->priority <= best->priority || is_late(call, now_us) ||
+		    !has_slot(queue, call))
 			continue;
 		if (first == NULL || precedes(call, first, now_us))
 			first = call;
@@ -274,7 +331,8 @@
 		return NULL;
 	TAILQ_FOREACH(call, &queue->list, link)
 	{
-		if (best == NULL || precedes(call, best, now_us))
+		if (has_slot(queue, call) &&
+		    (best == NULL || precedes(call, best, now_us)))
 			best = call;
 	}
 	if (best == NULL)
@@ -364,6 +422,8 @@
 		    call->share, (double)(spent_us - call->expected_run_us));
 	bf_fair_shares_release(call->share);
 	call->share = NULL;
+	if (call->kind != NULL)
+		call->kind->running--;
 	queue->running--;
 	queue->started_at_sum_us -= (double)call->started_at_us;
 	queue->expected_run_sum_us -= (double)call->expected_run_us;
--- a/mesh/call_queue.h
+++ b/mesh/call_queue.h
@@ -6,6 +6,7 @@
 #include <sys/queue.h>
 
 #include "base/clock.h"
+#include "fairness/reserve.h"
 #include "fairness/shares.h"
 
 /*
@@ -30,6 +31,9 @@
  * not) are taken from the account that got the least slot time for its weight
  * (fairness/shares.h), and from one account by objective.  A deployment without
  * accounts has account 0 only, which leaves the order by objective.
+ *
+ * With keeps_reserve, slots that shorter and more urgent calls will need are
+ * kept from long runs (fairness/reserve.h).
  */
 
 typedef struct bf_queued_call bf_queued_call_t;
@@ -44,7 +48,8 @@
 	bf_time_us_t expires_at_us;   /* refused if not started by then */
 	bf_time_us_t expected_run_us; /* at the target */
 	bf_time_us_t started_at_us;   /* set when it gets a slot */
-	bf_fair_share_t *share; /* of its account while queued or running */
+	bf_fair_share_t *share;  /* of its account while queued or running */
+	bf_reserve_kind_t *kind; /* with keeps_reserve */
 };
 
 TAILQ_HEAD(bf_queued_call_list, bf_queued_call);
@@ -61,6 +66,8 @@
 	double lower_credit_us; /* slot time due to calls of lower priority */
 	struct bf_queued_call_list list;
 	bf_fair_shares_t shares;
+	bool keeps_reserve; /* set by the owner */
+	bf_reserve_t reserve;
 } bf_call_queue_t;
 
 typedef enum bf_queue_decision {
@@ -88,7 +95,9 @@
  * Takes the call that is next out of the queue and gives it a slot: the first
  * in order or, when lower_credit_us suffices for its run time, the first
  * on-time call of lower priority than that.  Returns NULL when no slot is free
- * or the queue is empty.
+ * for any call in the queue.  With keeps_reserve, slots become free for long
+ * runs as time passes, not only when a run ends, so it is also to be called
+ * after a call was queued and at intervals, until it returns NULL.
  */
 bf_queued_call_t *bf_call_queue_start_next(
     bf_call_queue_t *queue, bf_time_us_t now_us);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -247,6 +247,24 @@
 	bf_loop_defer_free(call->mesh->loop, call);
 }
 
+/*
+ * The cause, for events and metrics.  Entries are told "busy" of calls that are
+ * displaced or kept from a free slot.
+ */
+static const char *
+refusal_reason(const bf_target_call_t *call, bf_cause_t cause)
+{
+	const bf_call_queue_t *queue = &call->mesh->target.queue;
+
+	if (call->displaced)
+		return "displaced";
+	if (cause == BF_CAUSE_BUSY && queue->running < queue->slots &&
+	    !bf_reserve_permits(
+		&queue->reserve, call->queued.kind, queue->slots))
+		return "reserved";
+	return bf_cause_name(cause);
+}
+
 /* Sends the reply to the call's entry and frees the call. */
 static void
 send_reply(bf_target_call_t *call, const bf_reply_t *reply, bf_time_us_t now_us)
@@ -280,9 +298,7 @@
 		.expected_wait_us = bf_call_queue_expected_wait_us(
 		    &mesh->target.queue, &call->queued, now_us),
 	};
-	/* To its entry, a displaced call was refused as busy. */
-	const char *reason =
-	    call->displaced ? "displaced" : bf_cause_name(cause);
+	const char *reason = refusal_reason(call, cause);
 
 	bf_metric_count(mesh->metrics.runs, reason, 1);
 	if (reply.waited_us > 0 ||
@@ -662,6 +678,23 @@
 		send_call(call, now_us);
 }
 
+/*
+ * Sends the waiting calls that the queue's reserve leaves slots to: it shrinks
+ * with time, without a run that ends.
+ */
+static void
+send_permitted(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	uint32_t count;
+
+	if (!mesh->target.queue.keeps_reserve)
+		return;
+	do {
+		count = mesh->target.queue.count;
+		send_next(mesh, now_us);
+	} while (mesh->target.queue.count < count);
+}
+
 void
 bf_target_heard(bf_inbound_t *from, bf_time_us_t now_us)
 {
@@ -687,6 +720,7 @@
 	while ((queued = bf_call_queue_take_expired(queue, now_us)) != NULL)
 		refuse(
 		    (bf_target_call_t *)(void *)queued, BF_CAUSE_BUSY, now_us);
+	send_permitted(mesh, now_us);
 	/* Bodies of entries that have stopped sending make room for others. */
 	request_bodies(mesh, now_us);
 	if (queue->count > 0 || mesh->target.pulls.count > 0)
@@ -802,6 +836,8 @@
 {
 	bf_mesh_t *mesh = call->mesh;
 
+	mesh->target.queue.keeps_reserve =
+	    mesh->routing != NULL && bf_routing_accounts(mesh->routing) != NULL;
 	switch (bf_call_queue_admit(
 	    &mesh->target.queue, &call->queued, refuse_if_late, now_us)) {
 	case BF_QUEUE_DECISION_REFUSE:
@@ -811,6 +847,7 @@
 		call->waiting = true;
 		start_expiry_timer(mesh, now_us);
 		refuse_displaced(mesh, now_us);
+		send_permitted(mesh, now_us);
 		break;
 	case BF_QUEUE_DECISION_START:
 		send_call(call, now_us);
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -166,6 +166,49 @@
 	    shared[FLOODING_ACCOUNT], <, unshared[FLOODING_ACCOUNT]);
 }
 
+/* Of the short calls of dependency.pattern, in five seeds. */
+static double
+unserved_short_calls(bf_policy_t policy, double *long_served)
+{
+	uint64_t calls = 0, served = 0, longs = 0, longs_in_time = 0, seed;
+	bf_sim_result_t result;
+	bf_pattern_t *pattern;
+	bf_error_t err;
+
+	pattern = bf_pattern_read(FOLDER "/dependency.pattern", &err);
+	g_assert_nonnull(pattern);
+	for (seed = 1; seed <= 5; seed++) {
+		bf_pattern_simulate(pattern, policy, 0, seed, &result);
+		calls += result.classes[0].calls;
+		served += result.classes[0].on_time + result.classes[0].late;
+		longs += result.classes[2].calls;
+		longs_in_time +=
+		    result.classes[2].on_time + result.classes[2].late;
+	}
+	bf_pattern_free(pattern);
+	*long_served = (double)longs_in_time / (double)longs;
+	return 1 - (double)served / (double)calls;
+}
+
+/*
+ * A burst of long runs of the lowest priority does not take the slots that
+ * calls of other targets need: 14,692 of 51,810 calls that needed some were
+ * refused in such a burst.  A quarter of that is the bound, and the long calls
+ * are served at least half as often as the short ones.
+ */
+static void
+test_dependency(void)
+{
+	double bound = 14692.0 / 51810 / 4, unserved, long_served;
+
+	unserved = unserved_short_calls(BF_POLICY_UNSHARED, &long_served);
+	g_assert_cmpfloat(unserved, >, bound);
+	unserved = unserved_short_calls(BF_POLICY_MESH, &long_served);
+	g_assert_cmpfloat(unserved, <=, bound);
+	g_assert_cmpfloat(
+	    long_served, >=, LEAST_OF_BEST_SERVED * (1 - unserved));
+}
+
 static void
 test_bad_pattern(void)
 {
@@ -185,6 +228,7 @@
 	g_test_add_func("/replay/large", test_large);
 	g_test_add_func("/replay/no-class-starves", test_no_class_starves);
 	g_test_add_func("/replay/flooding-account", test_flooding_account);
+	g_test_add_func("/replay/dependency", test_dependency);
 	g_test_add_func("/replay/bad-pattern", test_bad_pattern);
 	return g_test_run();
 }
