Withhold offers of a kind that was just refused

While capacity was short, each call was offered to three nodes to be refused by all, although the one before it of the same kind had just been.

Once three nodes refused a call as busy, its entry refuses the next ones of the same service, route, account and priority without an offer, for half of the stated wait and 40 ms at most, unless they have more time or a free slot is known (fairness/refusals.h). Only in a configuration with accounts.

--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bench/load_sim.h"
+#include "fairness/refusals.h"
 #include "mesh/balance.h"
 #include "mesh/call_queue.h"
 
@@ -106,6 +107,7 @@
 	uint32_t account;             /* index */
 	uint32_t retries;             /* of the caller */
 	bool makes_child;
+	bf_time_us_t left_us;     /* until its objective, at its first offer */
 	bf_time_us_t min_wait_us; /* that a refusal stated; 0: none */
 	const bf_pattern_class_t *class;
 	uint32_t class_index;
@@ -155,6 +157,7 @@
 	bf_sim_target_t *targets;
 	bf_candidate_t *candidates; /* [entry][target], as known at the entry */
 	uint32_t *next_target;      /* by entry, for round robin */
+	bf_refusals_t *refusals;    /* by entry */
 	double *retry_tokens;       /* by entry: retries that it may make */
 	double capacity;            /* sum of speed * slots over all targets */
 	bf_time_us_t now_us;
@@ -310,6 +313,21 @@
 	    (bf_time_us_t)(uniform(&sim->policy_random) * (double)jitter_us);
 }
 
+static bool
+is_shared(const bf_sim_t *sim)
+{
+	return sim->pattern->account_count > 0 &&
+	    sim->policy != BF_POLICY_UNSHARED;
+}
+
+/* Kind of the call at its entry, see fairness/refusals.h. */
+static uint64_t
+refusal_kind(const bf_sim_call_t *call)
+{
+	return 1 + call->class_index +
+	    BF_PATTERN_CLASSES_MAX * (uint64_t)call->account;
+}
+
 /* Whether the caller of a refused call makes it again, later. */
 static bool
 return_later(bf_sim_t *sim, bf_sim_call_t *call)
@@ -514,6 +532,15 @@
 	return index[chosen];
 }
 
+/* As far as the entry knows. */
+static bool
+is_full(bf_sim_t *sim, uint32_t entry, uint32_t target)
+{
+	const bf_candidate_t *candidate = candidate_of(sim, entry, target);
+
+	return candidate->running + candidate->waiting >= candidate->slots;
+}
+
 static void
 send_offer(bf_sim_t *sim, bf_sim_call_t *call)
 {
@@ -522,6 +549,23 @@
 	target = sim->policy == BF_POLICY_PERFECT
 	    ? choose_perfect(sim, call)
 	    : choose_by_reports(sim, call);
+	if (call->offers == 0)
+		call->left_us = call->objective_at_us - sim->now_us;
+	if (is_shared(sim) && call->parent == NULL && call->offers == 0 &&
+	    target != UINT32_MAX && is_full(sim, call->entry, target)) {
+		call->min_wait_us =
+		    bf_refusals_wait_us(&sim->refusals[call->entry],
+			refusal_kind(call), call->left_us, sim->now_us);
+		if (call->min_wait_us > 0) {
+			finish_call(sim, call, false);
+			return;
+		}
+	}
+	if (is_shared(sim) && call->parent == NULL && call->min_wait_us > 0 &&
+	    call->refusals == OFFERS_MAX)
+		bf_refusals_record(&sim->refusals[call->entry],
+		    refusal_kind(call), call->min_wait_us, call->left_us,
+		    sim->now_us);
 	if (target == UINT32_MAX || call->offers == OFFERS_MAX ||
 	    sim->now_us >= call->deadline_at_us) {
 		finish_call(sim, call, false);
@@ -594,13 +638,6 @@
 	return (bf_time_us_t)target->class_run_us[class_index];
 }
 
-static bool
-is_shared(const bf_sim_t *sim)
-{
-	return sim->pattern->account_count > 0 &&
-	    sim->policy != BF_POLICY_UNSHARED;
-}
-
 static void start_next_run(bf_sim_t *sim, uint32_t index);
 
 /* A call arrives at the node beside the target. */
@@ -944,9 +981,11 @@
 	sim->candidates =
 	    calloc((size_t)sim->nodes * sim->nodes, sizeof(bf_candidate_t));
 	sim->next_target = calloc(sim->nodes, sizeof(uint32_t));
+	sim->refusals = calloc(sim->nodes, sizeof(bf_refusals_t));
 	sim->retry_tokens = calloc(sim->nodes, sizeof(double));
 	if (sim->targets == NULL || sim->candidates == NULL ||
-	    sim->next_target == NULL || sim->retry_tokens == NULL)
+	    sim->next_target == NULL || sim->retry_tokens == NULL ||
+	    sim->refusals == NULL)
 		abort();
 	for (i = 0; i < sim->nodes; i++) {
 		bf_call_queue_init(&sim->targets[i].call_queue, p->slots);
@@ -1012,6 +1051,7 @@
 	free(sim.targets);
 	free(sim.candidates);
 	free(sim.next_target);
+	free(sim.refusals);
 	free(sim.retry_tokens);
 }
 
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -556,6 +556,39 @@
 	    bf_throttle_refuses(throttle, random_unit(call->mesh), now_us);
 }
 
+/* What decides, besides its time left, on whether targets refuse a call. */
+static uint64_t
+refusal_kind(const bf_entry_call_t *call)
+{
+	uint64_t account = call->account != NULL ? call->account->id : 0;
+
+	return bf_hash_text(call->service,
+	    bf_hash_text(call->route->name, account ^ call->priority));
+}
+
+/* Calls that targets make have no caller who returns later. */
+static bool
+shares_refusals(const bf_entry_call_t *call)
+{
+	return !call->inner && bf_routing_accounts(call->routing) != NULL;
+}
+
+/*
+ * Whether to refuse a call without an offer, as nodes have just refused one of
+ * its kind.  If so, sets the expected wait that the caller is told.
+ */
+static bool
+was_just_refused(bf_entry_call_t *call, bf_time_us_t now_us)
+{
+	if (!shares_refusals(call) || call->offers > 0)
+		return false;
+	call->min_wait_us = bf_refusals_wait_us(&call->mesh->refusals,
+	    refusal_kind(call), call->objective_us - call->began_us, now_us);
+	if (call->min_wait_us > 0)
+		bf_metric_count(call->mesh->metrics.offers, "withheld", 1);
+	return call->min_wait_us > 0;
+}
+
 /* How much later a call may end if that avoids traffic between zones. */
 static bf_zone_preference_t
 zone_preference(const bf_entry_call_t *call, bf_time_us_t now_us)
@@ -598,6 +631,10 @@
 		return;
 	}
 	count = find_candidates(call, candidates, peers, now_us);
+	if (call->busy_count == BUSY_OFFERS_MAX && shares_refusals(call))
+		bf_refusals_record(&call->mesh->refusals, refusal_kind(call),
+		    call->min_wait_us, call->objective_us - call->began_us,
+		    now_us);
 	if (count == 0 || call->offers == BF_OFFERS_MAX ||
 	    call->busy_count == BUSY_OFFERS_MAX) {
 		give_up(call,
@@ -609,10 +646,15 @@
 	chosen = bf_candidate_choose(
 	    candidates, count, &preference, &call->mesh->random);
 	if (candidates[chosen].running + candidates[chosen].waiting >=
-		candidates[chosen].slots &&
-	    should_throttle(call, now_us)) {
-		give_up(call, BF_CAUSE_THROTTLED, now_us);
-		return;
+	    candidates[chosen].slots) {
+		if (should_throttle(call, now_us)) {
+			give_up(call, BF_CAUSE_THROTTLED, now_us);
+			return;
+		}
+		if (was_just_refused(call, now_us)) {
+			give_up(call, BF_CAUSE_BUSY, now_us);
+			return;
+		}
 	}
 	refuse_if_late = count > 1 && call->busy_count + 1 < BUSY_OFFERS_MAX;
 	send_offer(call, peers[chosen], refuse_if_late, now_us);
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 
 #include "base/digest.h"
+#include "fairness/refusals.h"
 #include "http/client.h"
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
@@ -470,6 +471,7 @@
 	uint32_t budget_count;
 	bf_route_throttle_t throttles[BF_ROUTE_THROTTLES_MAX];
 	uint32_t throttle_count;
+	bf_refusals_t refusals; /* with accounts: of calls that entered here */
 
 	bf_own_target_t target;
 	bf_tracked_move_t moves[BF_MOVES_MAX];
