Spread the burst of a usage cap over its window

Change: the bucket of a cap spreads half of the burst over the window and has a quarter of the slack at once.

--- a/mesh/caps.c
+++ b/mesh/caps.c
@@ -3,6 +3,7 @@
 
 #include "mesh/caps.h"
 #include "mesh/internal.h"
+#include "usage_caps/limit.h"
 
 /* Interval at which the parts of coordinator and root are chosen again. */
 #define CHOOSE_US (100 * BF_US_PER_MS)
@@ -59,8 +60,10 @@
 		account = bf_account_directory_find_id(directory, id);
 	if (account == NULL || account->rate_per_s <= 0)
 		return false;
-	*limit = (bf_caps_limit_t){ .rate_per_s = account->rate_per_s,
-		.burst = account->burst };
+	*limit = bf_caps_limit_of(account->rate_per_s, account->burst,
+	    &(bf_caps_window_t){
+		.window_us = caps->mesh->options.cap_window_ms * BF_US_PER_MS,
+		.slack = caps->mesh->options.cap_slack });
 	return true;
 }
 
--- a/tests/test_usage_caps.c
+++ b/tests/test_usage_caps.c
@@ -7,6 +7,7 @@
 #include <glib.h>
 
 #include "base/digest.h"
+#include "usage_caps/limit.h"
 #include "usage_caps/member.h"
 
 /*
@@ -1067,6 +1068,34 @@
 	bf_caps_member_free(&root);
 }
 
+/*
+ * No window may have more than its cap and a part of what is tolerated, and an
+ * account of a few calls a second may make several at once.
+ */
+static void
+limit_of_window(void)
+{
+	const bf_caps_window_t window = { .window_us = 5 * BF_US_PER_S,
+		.slack = 20 };
+	const struct {
+		double rate_per_s, burst;
+	} caps[] = { { 82, 82 }, { 2.4, 2.4 }, { 10, 0 }, { 0.5, 40 } };
+	bf_caps_limit_t limit;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(caps); i++) {
+		limit = bf_caps_limit_of(
+		    caps[i].rate_per_s, caps[i].burst, &window);
+		g_assert_cmpfloat(limit.rate_per_s * 5 + limit.burst, <=,
+		    caps[i].rate_per_s * 5 + caps[i].burst + 20 * 0.25 + 1e-9);
+		g_assert_cmpfloat(limit.rate_per_s, >=, caps[i].rate_per_s);
+		g_assert_cmpfloat(limit.burst, >=, 5);
+	}
+	limit = bf_caps_limit_of(10, 30, &(bf_caps_window_t){ 0 });
+	g_assert_cmpfloat(limit.rate_per_s, ==, 10);
+	g_assert_cmpfloat(limit.burst, ==, 30);
+}
+
 int
 main(int argc, char **argv)
 {
@@ -1099,6 +1128,7 @@
 	g_test_add_func(
 	    "/usage_caps/rule/second_holder", second_holder_gets_nothing);
 	g_test_add_func("/usage_caps/rule/lease", lease_counts_from_poll);
+	g_test_add_func("/usage_caps/limit", limit_of_window);
 	g_test_add_func("/usage_caps/rule/stock", stock_counts_and_ends);
 	result = g_test_run();
 	apr_terminate();
