Ask for tokens of usage caps every 5 ms

Change: the interval is a twentieth of that of polls (5 to 20 ms), and a call waits up to a quarter of the time to its deadline.

--- a/mesh/caps.c
+++ b/mesh/caps.c
@@ -8,7 +8,7 @@
 /* Interval at which the parts of coordinator and root are chosen again. */
 #define CHOOSE_US (100 * BF_US_PER_MS)
 /* Interval while calls wait: less than a tenth of the time that they may. */
-#define WAITING_US (10 * BF_US_PER_MS)
+#define WAITING_US (5 * BF_US_PER_MS)
 /*
  * A node that has just started may not have all nodes of its zone in its list,
  * and others may not count it yet.
@@ -420,6 +420,7 @@
 	bf_time_us_t boot_us = bf_clock_boottime_us();
 	bf_peer_t *to;
 
+	caps->node.sibling_count = caps->mesh->own_zone_count;
 	if (caps->waiters != NULL &&
 	    (to = find_peer(caps, caps->node.holder)) != NULL &&
 	    bf_caps_member_request(&caps->node, &report, boot_us))
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1201,7 +1201,7 @@
 	call->cap_waiter.decided = on_cap_decided;
 	/* The calls of targets are not counted. */
 	bf_caps_admit(mesh->caps, call->inner ? NULL : call->account,
-	    &call->cap_waiter, (call->objective_us - now_us) / CAP_WAIT_DIVISOR,
+	    &call->cap_waiter, (call->deadline_us - now_us) / CAP_WAIT_DIVISOR,
 	    now_us);
 }
 
--- a/usage_caps/member.c
+++ b/usage_caps/member.c
@@ -266,7 +266,9 @@
 	size_t i;
 
 	if (!bf_caps_member_is_lent(member, now_us) ||
-	    now_us - member->urgent_us < BF_CAPS_URGENT_INTERVAL_US)
+	    now_us - member->urgent_us <
+		bf_caps_poll_interval_us(member->sibling_count) /
+		    BF_CAPS_URGENT_DIVISOR)
 		return false;
 	for (i = 0; i < member->pool.account_count && !is_due; i++)
 		is_due = unasked(member->pool.accounts[i], now_us) > 0;
--- a/usage_caps/member.h
+++ b/usage_caps/member.h
@@ -22,8 +22,12 @@
 #define BF_CAPS_ZONE_STOCK_US (400 * BF_US_PER_MS)
 /* Tokens in a frame that the network or the receiver delayed are discarded. */
 #define BF_CAPS_LATE_US (200 * BF_US_PER_MS)
-/* Between urgent requests: two fit into the time that a call may wait. */
-#define BF_CAPS_URGENT_INTERVAL_US (40 * BF_US_PER_MS)
+/*
+ * Between urgent requests of a member: this part of the interval of polls, so
+ * that a call of an account with few calls waits some milliseconds.  Two of
+ * them follow each other on the way to the root.
+ */
+#define BF_CAPS_URGENT_DIVISOR 20
 /* The longest time that a call waits for a token. */
 #define BF_CAPS_WAIT_US (150 * BF_US_PER_MS)
 /* Ten polls a second at 18 nodes; several in the time of a lease. */
@@ -56,6 +60,8 @@
 	bf_time_us_t stock_us;  /* life of the tokens received */
 	uint64_t holder;        /* that the shares were last lent to; 0: none */
 	bf_time_us_t urgent_us; /* last urgent request */
+	/* Members of the same holder, as far as known; 0: few. */
+	uint32_t sibling_count;
 } bf_caps_member_t;
 
 bool bf_caps_member_init(bf_caps_member_t *member, bf_time_us_t stock_us,
