Keep the coordinator of usage caps while its access to the store changes

A new coordinator has no tokens, and shares stay lent to the former one for 1 s. After a restart of all nodes 4,956 calls were refused in 4 s: each node waited 1.5 s for its list of nodes to settle.

Change: the coordinator is the live node with the widest link, whether it is a relay or not, and a node whose former record is still in the store is settled at once.

Ruled out: rates; accounts were at 0.6 of their caps.

--- a/mesh/caps.c
+++ b/mesh/caps.c
@@ -11,7 +11,8 @@
 #define WAITING_US (5 * BF_US_PER_MS)
 /*
  * A node that has just started may not have all nodes of its zone in its list,
- * and others may not count it yet.
+ * and others may not count it yet.  If the store still had the record of its
+ * former process, it has those of the others, and they count it.
  */
 #define SETTLING_US (1500 * BF_US_PER_MS)
 /* The own share is valid until the next choice of parts, and some more. */
@@ -118,7 +119,8 @@
 share_is_valid(bf_caps_t *caps, bf_time_us_t boot_us)
 {
 	if (caps->settled_boot_us == 0 && caps->mesh->listed_at_us != 0)
-		caps->settled_boot_us = boot_us + SETTLING_US;
+		caps->settled_boot_us =
+		    boot_us + (caps->mesh->had_record ? 0 : SETTLING_US);
 	return caps->settled_boot_us != 0 && boot_us >= caps->settled_boot_us &&
 	    bf_mesh_knows_present_config(caps->mesh, boot_us);
 }
@@ -519,13 +521,15 @@
 	(void)add_accounts(caps, &holder->member);
 }
 
-/* Whether a node may be the coordinator of its zone. */
+/*
+ * Whether a node may be the coordinator of its zone.  Being a relay does not
+ * count: that changes with access to the store, which a coordinator does not
+ * need, and a new coordinator has no tokens at first.
+ */
 static bool
 may_coordinate(const bf_peer_t *peer)
 {
-	if (peer->self)
-		return peer->mesh->relay && !peer->mesh->stopping;
-	return bf_roster_is_live(peer) && peer->state.relay;
+	return peer->self ? !peer->mesh->stopping : bf_roster_is_live(peer);
 }
 
 static bool
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -467,6 +467,7 @@
 	uint64_t store_call_counts[BF_STORE_PURPOSES];
 	bool member_dirty;         /* the record has to be written again */
 	bool member_lost;          /* the store lost it, with its lease */
+	bool had_record;           /* a former process left it in the store */
 	uint32_t store_era;        /* see store/revision.h */
 	bf_time_us_t listed_at_us; /* 0: not yet with this lease */
 	/* When the first list of nodes was complete, though maybe old. */
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -492,6 +492,9 @@
 		 */
 		mesh->member_revision =
 		    reply->item_count > 0 ? reply->items[0].revision : 0;
+		mesh->had_record = mesh->had_record ||
+		    (mesh->listed_at_us == 0 && reply->item_count > 0 &&
+			reply->items[0].data != NULL);
 		if (reply->item_count > 0 && reply->items[0].data != NULL)
 			restore_record(mesh, &reply->items[0], now_us);
 		start_call(mesh, now_us);
