Learn how many concurrent runs a target takes well

Cause: some targets slow down well before their slots are full, and the expected time of a run assumed that they do not. The speed that targets report as fourth figure of the load field was not read.

Change: capacity/estimator.[ch] learns, at the node beside the target, the time of a run by route relative to its usual time, at each number running, without the time in which a run waits for its own calls. With load.learn_capacity the learnt number limits the queue and is reported as the slots, and the expected time of a run is reported as the mean time. Event capacity, gauge bf_learnt_capacity. The replay has targets that slow down (knee), zones with unequal load (zone), the policy learn and the share of runs outside the zone of their entry.

--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,8 @@
 # Replays recorded load patterns through the policies for the choice of a target
 # and for queueing.
 replay: build
-	$(BUILD)/bin/replay tests/traces/load/*.pattern
+	$(BUILD)/bin/replay tests/traces/load/*.pattern \
+	    tests/traces/capacity/*.pattern
 
 # Runs the soak test with SEEDS consecutive seeds from FIRST on.
 FIRST ?= 1
--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "bench/load_sim.h"
+#include "capacity/estimator.h"
 #include "mesh/balance.h"
 #include "mesh/call_queue.h"
 
@@ -29,17 +30,18 @@
 	FAULT_GREY,
 	FAULT_COLD,
 	FAULT_PARTITION,
-	FAULT_RESTART
+	FAULT_RESTART,
+	FAULT_ZONE
 } bf_pattern_fault_kind_t;
 
 static const char *const fault_names[] = { "burst", "slow", "grey", "cold",
-	"cut", "restart" };
+	"cut", "restart", "zone" };
 
 typedef struct bf_pattern_fault {
 	bf_pattern_fault_kind_t kind;
 	double start_s;
 	double duration_s;
-	/* Share of the targets affected; for a partition the zone's index. */
+	/* Share of the targets affected; for cut and zone the zone's index. */
 	double share;
 	double strength;
 } bf_pattern_fault_t;
@@ -59,6 +61,8 @@
 struct bf_pattern {
 	uint32_t nodes;
 	uint32_t slots;
+	uint32_t knee; /* runs that a target takes without slowing down */
+	double slope;  /* slowdown for each run beyond that */
 	double speeds[SPEEDS_MAX];
 	uint32_t speed_count;
 	double seconds; /* during which calls arrive */
@@ -79,6 +83,7 @@
 
 typedef struct bf_sim_call {
 	bf_queued_call_t queue_entry; /* first member */
+	bf_capacity_run_t capacity_run;
 	const bf_pattern_class_t *class;
 	uint32_t class_index;
 	uint32_t entry;
@@ -106,6 +111,7 @@
 
 typedef struct bf_sim_target {
 	bf_call_queue_t call_queue;
+	bf_capacity_t capacity;
 	double speed;
 	double failure_rate; /* moving average, measured by its node */
 	uint32_t running;
@@ -252,6 +258,30 @@
 	return &sim->candidates[entry * sim->nodes + target];
 }
 
+static bool
+learns(const bf_sim_t *sim)
+{
+	return sim->policy == BF_POLICY_LEARN;
+}
+
+/* As in mesh/target.c. */
+static void
+apply_learnt_load(
+    const bf_sim_t *sim, const bf_sim_target_t *t, bf_candidate_t *candidate)
+{
+	bf_time_us_t run_us;
+	uint32_t running = t->running + 1;
+
+	candidate->slots = bf_capacity_learnt_slots(&t->capacity);
+	if (running > t->capacity.learnt)
+		running = t->capacity.learnt;
+	run_us = bf_capacity_expected_us(&t->capacity, running, sim->now_us);
+	if (run_us > 0 &&
+	    (candidate->mean_run_us <= (uint32_t)t->call_queue.mean_run_us ||
+		candidate->mean_run_us < run_us))
+		candidate->mean_run_us = (uint32_t)run_us;
+}
+
 static void
 update_candidate(bf_sim_t *sim, uint32_t entry, uint32_t target)
 {
@@ -262,6 +292,8 @@
 	candidate->waiting = t->call_queue.count + t->queued;
 	candidate->mean_run_us =
 	    (uint32_t)bf_call_queue_current_run_us(&t->call_queue, sim->now_us);
+	if (learns(sim))
+		apply_learnt_load(sim, t, candidate);
 	candidate->failure_ppm = (uint32_t)(t->failure_rate * 1000000);
 	candidate->sent_since_report = 0;
 }
@@ -375,6 +407,7 @@
 		return UINT32_MAX;
 	switch (sim->policy) {
 	case BF_POLICY_MESH:
+	case BF_POLICY_LEARN:
 		preference.answer_within_us =
 		    (bf_time_us_t)(OWN_ZONE_OBJECTIVE_SHARE *
 			(double)(call->objective_at_us - sim->now_us));
@@ -430,9 +463,18 @@
 	const bf_pattern_fault_t *grey =
 	    fault_on(sim, FAULT_GREY, call->target);
 	double took_us = call->work_us / actual_speed(sim, call->target);
+	bf_sim_target_t *target = &sim->targets[call->target];
+	uint32_t running;
 
 	call->started_at_us = sim->now_us;
-	sim->targets[call->target].running++;
+	running = ++target->running;
+	if (sim->pattern->knee > 0 && running > sim->pattern->knee)
+		took_us *=
+		    1 + sim->pattern->slope * (running - sim->pattern->knee);
+	bf_capacity_begin(&target->capacity, &call->capacity_run, sim->now_us);
+	sim->result->runs++;
+	if (call->target % ZONES != call->entry % ZONES)
+		sim->result->runs_outside++;
 	call->fails =
 	    grey != NULL && uniform(&sim->policy_random) < grey->strength;
 	if (call->fails)
@@ -453,7 +495,7 @@
 static bool
 uses_call_queue(const bf_sim_t *sim)
 {
-	return sim->policy == BF_POLICY_MESH ||
+	return sim->policy == BF_POLICY_MESH || learns(sim) ||
 	    sim->policy == BF_POLICY_PERFECT;
 }
 
@@ -501,10 +543,12 @@
 		while ((next = bf_call_queue_take_expired(
 			    &target->call_queue, sim->now_us)) != NULL)
 			send_reply(sim, (bf_sim_call_t *)(void *)next, true);
-		next =
-		    bf_call_queue_start_next(&target->call_queue, sim->now_us);
-		if (next != NULL)
-			begin_run(sim, (bf_sim_call_t *)(void *)next);
+		do {
+			next = bf_call_queue_start_next(
+			    &target->call_queue, sim->now_us);
+			if (next != NULL)
+				begin_run(sim, (bf_sim_call_t *)(void *)next);
+		} while (next != NULL && learns(sim));
 		return;
 	}
 	if (target->queued == 0)
@@ -514,6 +558,19 @@
 	    --target->queued * sizeof(bf_sim_call_t *));
 }
 
+static void
+learn_run(bf_sim_t *sim, bf_sim_target_t *target, bf_sim_call_t *call)
+{
+	bf_capacity_set_percent(&target->capacity,
+	    (uint32_t)(100 * target->speed / actual_speed(sim, call->target)),
+	    sim->now_us);
+	bf_capacity_end(&target->capacity, &call->capacity_run,
+	    call->class_index, !call->fails, sim->now_us);
+	if (learns(sim))
+		target->call_queue.slots = bf_capacity_slots(&target->capacity,
+		    target->call_queue.count > 0, sim->now_us);
+}
+
 static void
 handle_run_end(bf_sim_t *sim, bf_sim_call_t *call)
 {
@@ -529,6 +586,7 @@
 		    &target->call_queue, &call->queue_entry, spent_us);
 	else
 		bf_call_queue_count_run(&target->call_queue, spent_us);
+	learn_run(sim, target, call);
 	if (call->fails || sim->now_us > call->deadline_at_us)
 		sim->result->wasted_s += (double)spent_us / BF_US_PER_S;
 	send_reply(sim, call, false);
@@ -580,6 +638,24 @@
 	    EVENT_ARRIVAL, NULL);
 }
 
+/*
+ * The entry of a call.  While a zone has more load than the others, entries are
+ * drawn again until one is accepted with a probability by its zone's load.
+ */
+static uint32_t
+draw_entry(bf_sim_t *sim)
+{
+	const bf_pattern_fault_t *fault = active_fault(sim, FAULT_ZONE);
+	uint32_t entry;
+
+	do {
+		entry = (uint32_t)(uniform(&sim->call_random) * sim->nodes) %
+		    sim->nodes;
+	} while (fault != NULL && entry % ZONES != (uint32_t)fault->share &&
+	    uniform(&sim->call_random) * fault->strength >= 1);
+	return entry;
+}
+
 static void
 handle_arrival(bf_sim_t *sim)
 {
@@ -594,8 +670,7 @@
 		pick -= p->classes[i++].share;
 	call->class = &p->classes[i];
 	call->class_index = i;
-	call->entry =
-	    (uint32_t)(uniform(&sim->call_random) * sim->nodes) % sim->nodes;
+	call->entry = draw_entry(sim);
 	/* Work times have a gamma distribution of shape 4. */
 	spread = -log((1 - uniform(&sim->call_random)) *
 		     (1 - uniform(&sim->call_random)) *
@@ -672,6 +747,7 @@
 		abort();
 	for (i = 0; i < sim->nodes; i++) {
 		bf_call_queue_init(&sim->targets[i].call_queue, p->slots);
+		bf_capacity_init(&sim->targets[i].capacity, p->slots, 0);
 		sim->targets[i].speed = p->speeds[i % p->speed_count];
 		sim->capacity += sim->targets[i].speed * p->slots;
 		sim->next_target[i] = i;
@@ -739,7 +815,7 @@
 bf_policy_name(bf_policy_t policy)
 {
 	static const char *const names[] = { "mesh", "two-choices",
-		"stale-least", "round-robin", "random", "perfect" };
+		"stale-least", "round-robin", "random", "perfect", "learn" };
 
 	return names[policy];
 }
@@ -811,6 +887,7 @@
 		return read_speeds(pattern, line + 7);
 	return sscanf(line, "nodes %u", &pattern->nodes) == 1 ||
 	    sscanf(line, "slots %u", &pattern->slots) == 1 ||
+	    sscanf(line, "knee %u %lf", &pattern->knee, &pattern->slope) == 2 ||
 	    sscanf(line, "seconds %lf", &pattern->seconds) == 1 ||
 	    sscanf(line, "load %lf", &pattern->load) == 1 ||
 	    read_fault(pattern, line);
--- a/bench/load_sim.h
+++ b/bench/load_sim.h
@@ -21,6 +21,7 @@
 	BF_POLICY_ROUND_ROBIN,
 	BF_POLICY_RANDOM,
 	BF_POLICY_PERFECT, /* chooses with the actual state of all targets */
+	BF_POLICY_LEARN,   /* the mesh with load.learn_capacity */
 	BF_POLICY_COUNT
 } bf_policy_t;
 
@@ -43,6 +44,8 @@
 	double wasted_s; /* run time of calls that failed or were too late */
 	double mean_wait_ms; /* of answered calls, from arrival to the run */
 	uint64_t offers;     /* of calls to nodes beside targets */
+	uint64_t runs;
+	uint64_t runs_outside; /* of them, outside the zone of the entry */
 } bf_sim_result_t;
 
 typedef struct bf_pattern bf_pattern_t;
--- a/bench/replay.c
+++ b/bench/replay.c
@@ -59,7 +59,8 @@
 {
 	double earned_worth = 0, on_time_worth = 0, total_worth = 0,
 	       wasted_s = 0, mean_wait_ms = 0;
-	uint64_t calls = 0, late = 0, refused = 0, offers = 0, seed;
+	uint64_t calls = 0, late = 0, refused = 0, offers = 0, runs = 0,
+		 outside = 0, seed;
 	bf_sim_result_t result;
 	uint32_t i;
 
@@ -71,17 +72,20 @@
 		wasted_s += result.wasted_s;
 		mean_wait_ms += result.mean_wait_ms;
 		offers += result.offers;
+		runs += result.runs;
+		outside += result.runs_outside;
 		for (i = 0; i < result.class_count; i++) {
 			calls += result.classes[i].calls;
 			late += result.classes[i].late;
 			refused += result.classes[i].refused;
 		}
 	}
-	printf("%-10s %-12s %7.4f %7.4f %7.4f %7.4f %8.1f %8.1f %7.2f\n", name,
-	    bf_policy_name(policy), earned_worth / total_worth,
+	printf("%-10s %-12s %7.4f %7.4f %7.4f %7.4f %8.1f %8.1f %7.2f %8.4f\n",
+	    name, bf_policy_name(policy), earned_worth / total_worth,
 	    on_time_worth / total_worth, (double)late / (double)calls,
 	    (double)refused / (double)calls, wasted_s / SEEDS,
-	    mean_wait_ms / SEEDS, (double)offers / (double)calls);
+	    mean_wait_ms / SEEDS, (double)offers / (double)calls,
+	    (double)outside / (double)runs);
 }
 
 int
@@ -95,7 +99,7 @@
 
 	argp_parse(&argp, argc, argv, 0, NULL, &arguments);
 	printf("pattern    policy        worth  on-time    late refused "
-	       "wasted s  wait ms  offers\n");
+	       "wasted s  wait ms  offers  outside\n");
 	for (i = 0; i < arguments.path_count; i++) {
 		pattern = bf_pattern_read(arguments.paths[i], &err);
 		if (pattern == NULL) {
--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -236,6 +236,7 @@
 		.cold_over_ppm = s->cold_targets.over_ppm,
 		.cold_slack = s->cold_targets.slack,
 		.evacuate_ms = s->evacuation.within_ms,
+		.learn_capacity = s->load.learn_capacity,
 	};
 
 	meshd->loop = bf_loop_new(err);
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -138,6 +138,8 @@
 	bf_mesh_t *mesh = call->mesh;
 	bool late = now_us > call->objective_us;
 
+	if (call->inner)
+		bf_target_parent_blocked(mesh, call->request_id, false, now_us);
 	bf_metric_count(mesh->metrics.calls, outcome, 1);
 	if (cause != BF_CAUSE_NONE)
 		bf_metric_count(mesh->metrics.causes, bf_cause_name(cause), 1);
@@ -1124,6 +1126,8 @@
 	bf_loop_timer_set(
 	    mesh->loop, &call->timeout, call->deadline_us + ANSWER_GRACE_US);
 	write_head(call);
+	if (call->inner)
+		bf_target_parent_blocked(mesh, call->request_id, true, now_us);
 	budget = find_retry_budget(mesh, call->service);
 	if (budget != NULL && call->parent_is_retry)
 		bf_retry_budget_count_retry(budget, now_us);
@@ -1151,6 +1155,8 @@
 		    call->peer != NULL ? call->peer->instance : "");
 	remember_cancelled(call, now_us);
 	cancel_offer(call, now_us);
+	if (call->inner)
+		bf_target_parent_blocked(mesh, call->request_id, false, now_us);
 	free_call(call);
 }
 
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -5,6 +5,7 @@
 #include <jansson.h>
 
 #include "base/digest.h"
+#include "capacity/estimator.h"
 #include "http/client.h"
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
@@ -275,7 +276,8 @@
 
 	bf_http_client_t client;
 	bf_call_queue_t queue;
-	bf_body_pulls_t pulls; /* bodies of calls that are not queued yet */
+	bf_capacity_t capacity; /* used with learn_capacity */
+	bf_body_pulls_t pulls;  /* bodies of calls that are not queued yet */
 	bf_route_latency_t latencies[BF_ROUTE_LATENCIES_MAX];
 	uint32_t latency_count;
 	double failure_share; /* of recent runs, at failure_share_at_us */
@@ -357,14 +359,15 @@
 } bf_store_purpose_t;
 
 typedef struct bf_mesh_metrics {
-	bf_metric_family_t *calls;   /* by outcome */
-	bf_metric_family_t *causes;  /* of calls without an answer, by cause */
-	bf_metric_family_t *latency; /* by service */
-	bf_metric_family_t *offers;  /* by result */
-	bf_metric_family_t *runs;    /* at the own target, by result */
-	bf_metric_family_t *waited;  /* time in the queue for a slot */
-	bf_metric_family_t *spent;   /* time at the own target */
-	bf_metric_family_t *retries; /* by result */
+	bf_metric_family_t *calls;    /* by outcome */
+	bf_metric_family_t *capacity; /* learnt; gauge, with learn_capacity */
+	bf_metric_family_t *causes;   /* of calls without an answer, by cause */
+	bf_metric_family_t *latency;  /* by service */
+	bf_metric_family_t *offers;   /* by result */
+	bf_metric_family_t *runs;     /* at the own target, by result */
+	bf_metric_family_t *waited;   /* time in the queue for a slot */
+	bf_metric_family_t *spent;    /* time at the own target */
+	bf_metric_family_t *retries;  /* by result */
 	bf_metric_family_t *store_calls;    /* by result */
 	bf_metric_family_t *store_purposes; /* by purpose */
 	bf_metric_family_t *peers;          /* by state */
@@ -730,6 +733,8 @@
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* The run at the own target that made the call of this id, or NULL. */
+void bf_target_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us);
+
 bf_target_call_t *bf_target_find_parent(const bf_mesh_t *mesh, const char *id);
 uint32_t bf_target_call_priority(const bf_target_call_t *call);
 bool bf_target_call_is_retry(const bf_target_call_t *call);
@@ -737,6 +742,13 @@
 uint64_t bf_target_call_account_id(const bf_target_call_t *call);
 /* Marks the run that made the call of this id, which was refused as busy. */
 void bf_target_mark_dependency_busy(bf_mesh_t *mesh, const char *id);
+
+/*
+ * The run that made the call of this id waits for its end, or has got it.
+ * Nothing happens without learn_capacity or if the run has ended.
+ */
+void bf_target_parent_blocked(
+    bf_mesh_t *mesh, const char *id, bool blocked, bf_time_us_t now_us);
 /* Calls that run or wait at the own target. */
 uint32_t bf_target_call_count(const bf_mesh_t *mesh);
 
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -55,6 +55,8 @@
 	    "Configuration in force: its version and its age", "figure");
 	m->queue = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_target_calls",
 	    "Calls at the target beside this node", "state");
+	m->capacity = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_learnt_capacity",
+	    "Learnt capacity of the target beside this node", "figure");
 	m->connections = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_connections",
 	    "Open connections, of callers and to the target", "side");
 	m->log_lines = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_log_lines",
@@ -323,6 +325,8 @@
 	bf_metric_set(m->queue, "running", mesh->target.queue.running);
 	bf_metric_set(m->queue, "waiting", mesh->target.queue.count);
 	bf_metric_set(m->queue, "slots", mesh->target.queue.slots);
+	if (mesh->options.learn_capacity)
+		bf_target_update_gauges(mesh, now_us);
 	bf_metric_set(
 	    m->connections, "callers", mesh->caller_server.conn_count);
 	bf_metric_set(m->connections, "target", mesh->target.client.conn_count);
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -52,6 +52,7 @@
 	uint32_t cold_over_ppm;
 	uint32_t cold_slack;
 	uint32_t evacuate_ms;
+	bool learn_capacity;
 } bf_mesh_options_t;
 
 /* A heartbeat of the target beside this node. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -75,6 +75,7 @@
 	bool waiting;
 	bool confirming; /* has a slot, but its entry was not heard of */
 	bool running;
+	bf_capacity_run_t capacity_run; /* with learn_capacity */
 	bf_time_us_t arrived_us;
 	bf_time_us_t sent_us;
 	bf_http_exchange_t exchange;
@@ -126,20 +127,75 @@
 		FAILURE_HALF_LIFE_US);
 }
 
+/*
+ * The expected time of a run that starts now.  Runs that are overdue show a
+ * change of the target before they end, so the longer time counts then.
+ */
+static bf_time_us_t
+learnt_run_us(const bf_own_target_t *target, bf_time_us_t now_us)
+{
+	const bf_capacity_t *capacity = &target->capacity;
+	bf_time_us_t current_us, learnt_us;
+	uint32_t running = capacity->running - capacity->blocked + 1;
+
+	current_us = bf_call_queue_current_run_us(&target->queue, now_us);
+	if (running > capacity->learnt)
+		running = capacity->learnt;
+	learnt_us = bf_capacity_expected_us(capacity, running, now_us);
+	if (learnt_us == 0)
+		return current_us;
+	return current_us > (bf_time_us_t)target->queue.mean_run_us &&
+		current_us > learnt_us
+	    ? current_us
+	    : learnt_us;
+}
+
+/* Sets the slots of the queue; with learn_capacity, to the learnt ones. */
+static void
+set_slots(bf_mesh_t *mesh, uint32_t slots, bf_time_us_t now_us)
+{
+	bf_own_target_t *target = &mesh->target;
+	uint32_t learnt;
+
+	target->queue.slots = slots;
+	if (!mesh->options.learn_capacity)
+		return;
+	bf_capacity_set_slots(&target->capacity, slots);
+	learnt = target->capacity.learnt;
+	target->queue.slots = bf_capacity_slots(
+	    &target->capacity, target->queue.count > 0, now_us);
+	if (target->capacity.learnt != learnt)
+		bf_event(mesh->events, BF_EVENT_CAPACITY, now_us,
+		    "s:s,s:i,s:i,s:i,s:i,s:I", "target", target->heartbeat.id,
+		    "slots", (int)slots, "learnt", (int)target->capacity.learnt,
+		    "running", (int)target->queue.running, "speed_percent",
+		    (int)(100 * target->capacity.speed), "run_us",
+		    (json_int_t)learnt_run_us(target, now_us));
+}
+
+static void
+refresh_slots(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (mesh->options.learn_capacity)
+		set_slots(mesh, mesh->target.capacity.slots, now_us);
+}
+
 bf_load_t
 bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	const bf_own_target_t *target = &mesh->target;
 	double share = current_failure_share(target, now_us);
+	bool learnt = mesh->options.learn_capacity;
+	uint32_t slots = learnt ? bf_capacity_learnt_slots(&target->capacity)
+				: target->queue.slots;
 
 	return (bf_load_t){
 		.running = target->queue.running,
 		.waiting = target->queue.count + target->pulls.count,
-		.slots =
-		    target->state == BF_TARGET_READY ? target->queue.slots : 0,
-
-		.mean_us = (uint32_t)bf_call_queue_current_run_us(
-		    &target->queue, now_us),
+		.slots = target->state == BF_TARGET_READY ? slots : 0,
+		.mean_us = (uint32_t)(learnt
+			? learnt_run_us(target, now_us)
+			: bf_call_queue_current_run_us(&target->queue, now_us)),
 		.failing_ppm = share < FAILURE_SHARE_MIN
 		    ? 0
 		    : (uint32_t)(share * 100) * 10000,
@@ -167,6 +223,18 @@
 	return call;
 }
 
+void
+bf_target_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	const bf_capacity_t *capacity = &mesh->target.capacity;
+
+	bf_metric_set(mesh->metrics.capacity, "slots", capacity->learnt);
+	bf_metric_set(mesh->metrics.capacity, "speed_percent",
+	    (uint64_t)(100 * capacity->speed));
+	bf_metric_set(mesh->metrics.capacity, "run_microseconds",
+	    (uint64_t)learnt_run_us(&mesh->target, now_us));
+}
+
 bf_target_call_t *
 bf_target_find_parent(const bf_mesh_t *mesh, const char *id)
 {
@@ -209,6 +277,28 @@
 		call->dependency_busy = true;
 }
 
+void
+bf_target_parent_blocked(
+    bf_mesh_t *mesh, const char *id, bool blocked, bf_time_us_t now_us)
+{
+	bf_target_call_t *call;
+
+	if (!mesh->options.learn_capacity)
+		return;
+	call = bf_target_find_parent(mesh, id);
+	if (call == NULL)
+		return;
+	if (blocked)
+		bf_capacity_call_began(
+		    &mesh->target.capacity, &call->capacity_run, now_us);
+	else
+		bf_capacity_call_ended(
+		    &mesh->target.capacity, &call->capacity_run, now_us);
+	refresh_slots(mesh, now_us);
+	if (blocked)
+		send_next(mesh, now_us);
+}
+
 uint32_t
 bf_target_call_count(const bf_mesh_t *mesh)
 {
@@ -313,6 +403,9 @@
 	bf_route_latency_t *latency;
 
 	update_failure_share(target, failed, now_us);
+	bf_capacity_end(&target->capacity, &call->capacity_run,
+	    route_hash(call->route), !failed && now_us >= target->warm_at_us,
+	    now_us);
 	tally = bf_run_tally(&target->runs, route_hash(call->route));
 	if (tally != NULL) {
 		tally->runs++;
@@ -333,15 +426,16 @@
 }
 
 /*
- * Reads the load that the target reports: "running,waiting,slots".  Calls
- * beyond those that this process sent were sent by its former process and
+ * Reads the load that the target reports: "running,waiting,slots" and, if it
+ * knows, how long work takes on its machine now, in percent of the usual.
+ * Calls beyond those that this process sent were sent by its former process and
  * still hold slots.
  */
 static void
-apply_reported_load(bf_mesh_t *mesh, const char *text)
+apply_reported_load(bf_mesh_t *mesh, const char *text, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
-	uint32_t running, waiting, own, slots;
+	uint32_t running, waiting, own, slots, percent;
 
 	if (text == NULL || sscanf(text, "%u,%u", &running, &waiting) != 2)
 		return;
@@ -351,16 +445,22 @@
 		slots -= running + waiting - own < slots
 		    ? running + waiting - own
 		    : slots - 1;
-	target->queue.slots = slots;
+	if (mesh->options.learn_capacity &&
+	    sscanf(text, "%*u,%*u,%*u,%u", &percent) == 1)
+		bf_capacity_set_percent(&target->capacity, percent, now_us);
+	set_slots(mesh, slots, now_us);
 }
 
 static void
-release_slot(bf_target_call_t *call, bf_time_us_t spent_us)
+release_slot(bf_target_call_t *call, bf_time_us_t spent_us, bf_time_us_t now_us)
 {
 	bf_loop_timer_cancel(call->mesh->loop, &call->timeout);
 	call->running = false;
 	bf_call_queue_end_run(
 	    &call->mesh->target.queue, &call->queued, spent_us);
+	bf_capacity_end(&call->mesh->target.capacity, &call->capacity_run, 0,
+	    false, now_us);
+	refresh_slots(call->mesh, now_us);
 }
 
 static void
@@ -399,7 +499,8 @@
 
 	record_run(call, true, now_us);
 	/* A run that was given up would have taken longer still. */
-	release_slot(call, cause == BF_CAUSE_TIMEOUT ? reply.spent_us : -1);
+	release_slot(
+	    call, cause == BF_CAUSE_TIMEOUT ? reply.spent_us : -1, now_us);
 	log_run(call, bf_cause_name(cause), 0, now_us);
 	send_reply(call, &reply, now_us);
 	send_next(mesh, now_us);
@@ -411,7 +512,7 @@
 {
 	bf_mesh_t *mesh = call->mesh;
 
-	release_slot(call, -1);
+	release_slot(call, -1, now_us);
 	refuse(call, cause, now_us);
 	send_next(mesh, now_us);
 }
@@ -449,7 +550,7 @@
 
 	record_run(
 	    call, message->status >= 500 && !call->dependency_busy, now_us);
-	release_slot(call, now_us - call->sent_us);
+	release_slot(call, now_us - call->sent_us, now_us);
 	log_run(call, "answered", message->status, now_us);
 	copy_fields(message, &fields);
 	reply.fields = (const char *)bf_bytes_data(&fields);
@@ -518,7 +619,7 @@
 	bf_mesh_t *mesh = call->mesh;
 
 	apply_reported_load(
-	    mesh, bf_http_find(message, mesh->dialect->target_load));
+	    mesh, bf_http_find(message, mesh->dialect->target_load), now_us);
 	if (!is_answer_to(call, message)) {
 		bf_http_client_reset(&mesh->target.client);
 		fail_run(call, BF_CAUSE_BAD_ANSWER, now_us);
@@ -550,7 +651,7 @@
 		handle_answer(call, message, now_us);
 		break;
 	case BF_HTTP_NOT_SENT:
-		release_slot(call, -1);
+		release_slot(call, -1, now_us);
 		refuse(call, BF_CAUSE_CONNECT, now_us);
 		mark_target_absent(mesh, "refuses connections", now_us);
 		break;
@@ -604,6 +705,9 @@
 		bf_bytes_format(&call->head, "Content-Length: %zu\r\n",
 		    bf_bytes_count(&call->body));
 	bf_bytes_add_text(&call->head, "\r\n");
+	if (mesh->options.learn_capacity)
+		bf_capacity_begin(
+		    &mesh->target.capacity, &call->capacity_run, now_us);
 	if (!bf_http_send(&mesh->target.client, &call->exchange, &call->head,
 		&call->body, call->repeatable ? IDLE_US : UNSAFE_IDLE_US,
 		now_us)) {
@@ -641,21 +745,26 @@
 	bf_mesh_link_send(&from->link, BF_FRAME_PROBE, 0, NULL, NULL, now_us);
 }
 
-/* Sends the next waiting call if a slot is free. */
+/*
+ * Sends the next waiting call if a slot is free.  With learn_capacity the slots
+ * may have grown, so that more than one is free.
+ */
 static void
 send_next(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_queued_call_t *queued;
 	bf_target_call_t *call;
 
-	queued = bf_call_queue_start_next(&mesh->target.queue, now_us);
-	if (queued == NULL)
-		return;
-	call = (bf_target_call_t *)(void *)queued;
-	if (needs_confirmation(call, now_us))
-		confirm(call, now_us);
-	else
-		send_call(call, now_us);
+	do {
+		queued = bf_call_queue_start_next(&mesh->target.queue, now_us);
+		if (queued == NULL)
+			return;
+		call = (bf_target_call_t *)(void *)queued;
+		if (needs_confirmation(call, now_us))
+			confirm(call, now_us);
+		else
+			send_call(call, now_us);
+	} while (mesh->options.learn_capacity);
 }
 
 void
@@ -931,7 +1040,7 @@
 		return;
 	}
 	bf_http_cancel(&call->exchange);
-	release_slot(call, -1);
+	release_slot(call, -1, now_us);
 	free_call(call);
 	send_next(mesh, now_us);
 }
@@ -1011,7 +1120,8 @@
 }
 
 static void
-begin_lifetime(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat)
+begin_lifetime(
+    bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
 
@@ -1022,7 +1132,8 @@
 	target->runs.count = 0;
 	target->queue.has_measured_mean = false;
 	target->queue.mean_run_us = BF_CALL_QUEUE_INITIAL_RUN_US;
-	target->queue.slots = heartbeat->slots;
+	bf_capacity_forget(&target->capacity, heartbeat->slots, now_us);
+	set_slots(mesh, heartbeat->slots, now_us);
 }
 
 static bf_code_t
@@ -1094,7 +1205,7 @@
 	if (!*accepted)
 		return code;
 	if (!is_same_lifetime(&target->heartbeat, heartbeat))
-		begin_lifetime(mesh, heartbeat);
+		begin_lifetime(mesh, heartbeat, now_us);
 	(void)bf_address_parse(
 	    heartbeat->address, &target->client.address, NULL);
 	target->heartbeat = *heartbeat;
@@ -1130,7 +1241,7 @@
 	bf_own_target_t *target = &mesh->target;
 
 	target->state = BF_TARGET_READY;
-	target->queue.slots = target->heartbeat.slots;
+	set_slots(mesh, target->heartbeat.slots, now_us);
 	announce_state(mesh, change, now_us);
 }
 
@@ -1200,5 +1311,6 @@
 	target->client.held_bytes_max = ANSWERS_BYTES_MAX;
 	target->expiry_timer.fire = on_expiry;
 	bf_call_queue_init(&target->queue, 0);
+	bf_capacity_init(&target->capacity, 0, 0);
 	bf_body_pulls_init(&target->pulls, mesh->options.link_mbps);
 }
--- a/observe/events.h
+++ b/observe/events.h
@@ -28,6 +28,7 @@
 	BF_EVENT_MEMBER,         /* this node's own entry in the store */
 	BF_EVENT_RELAY,          /* starts or stops following operators' keys */
 	BF_EVENT_TARGET,         /* the target beside this node */
+	BF_EVENT_CAPACITY,       /* the learnt capacity of the target */
 	BF_EVENT_CONFIG,         /* a configuration was applied */
 	BF_EVENT_CONFIG_REFUSED, /* a configuration was rejected */
 	BF_EVENT_FRESHNESS,      /* keys are refused, or served again */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -125,6 +125,12 @@
 	{ .key = "within_ms", .kind = BF_FIELD_CUSTOM },
 };
 
+static const bf_field_t load_fields[] = {
+	{ .key = "learn_capacity",
+	    .kind = BF_FIELD_BOOL,
+	    .offset = FIELD(load.learn_capacity) },
+};
+
 static const bf_field_t metric_fields[] = {
 	{ .key = "listen",
 	    .kind = BF_FIELD_TEXT,
@@ -155,6 +161,7 @@
 	{ "cold_targets", cold_target_fields, COUNT(cold_target_fields),
 	    false },
 	{ "evacuation", evacuation_fields, COUNT(evacuation_fields), false },
+	{ "load", load_fields, COUNT(load_fields), false },
 	{ "metrics", metric_fields, COUNT(metric_fields), false },
 	{ "log", log_fields, COUNT(log_fields), false },
 };
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -65,6 +65,10 @@
 	struct {
 		uint32_t within_ms; /* time to empty a zone; 0: unknown */
 	} evacuation;
+	struct {
+		/* Whether the capacity of the own target is learnt. */
+		bool learn_capacity;
+	} load;
 	struct {
 		const char *listen; /* NULL: not served */
 	} metrics;
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1063,6 +1063,54 @@
 	fixture_free(fixture);
 }
 
+/*
+ * With learn_capacity the queue follows the estimator, and the reported time is
+ * learnt from runs, without the time in which a run waits for its own calls.
+ * Without it the estimator stays empty.
+ */
+static void
+test_learnt_capacity(void)
+{
+	mesh_fixture_t *fixture = new_configured(1);
+	bf_mesh_t *mesh = fixture->nodes[0];
+	const bf_capacity_t *capacity = &mesh->target.capacity;
+	test_call_t call, inner;
+	bf_load_t load;
+	uint32_t i;
+
+	(void)send_and_await(fixture, "GET", "/read/x", "before");
+	g_assert_false(capacity->has_mean);
+	mesh->options.learn_capacity = true;
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	fixture->targets[0].delay_us = 20 * BF_US_PER_MS;
+	for (i = 0; i < 8; i++)
+		(void)send_and_await(fixture, "GET", "/read/x", "learnt");
+	g_assert_true(capacity->has_mean);
+	g_assert_cmpuint(capacity->running, ==, 0);
+	load = bf_target_load(mesh, bf_clock_monotonic_us());
+	g_assert_cmpuint(load.slots, ==, mesh->target.heartbeat.slots);
+	g_assert_cmpuint(load.mean_us, >=, 20 * BF_US_PER_MS);
+	fixture->targets[0].delay_us = 300 * BF_US_PER_MS;
+	fixture_send(
+	    fixture, &call, 0, "GET", "/read/x", "parent", TIMEOUT_MS, 0);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpuint(capacity->running, ==, 1);
+	g_assert_cmpuint(capacity->blocked, ==, 0);
+	fixture_send(
+	    fixture, &inner, 0, "GET", "/read/x", "parent.child", 700, 0);
+	fixture_run(fixture, 20 * BF_US_PER_MS);
+	g_assert_cmpuint(capacity->running, ==, 2);
+	g_assert_cmpuint(capacity->blocked, ==, 1);
+	g_assert_true(fixture_await(fixture, &call, 1, WAIT_US));
+	g_assert_true(fixture_await(fixture, &inner, 1, WAIT_US));
+	bf_http_client_reset(&call.client);
+	bf_http_client_reset(&inner.client);
+	g_assert_cmpuint(capacity->running, ==, 0);
+	g_assert_cmpuint(capacity->blocked, ==, 0);
+	fixture_free(fixture);
+}
+
 /*
  * A run fails because the target that it calls sheds that call.  Running it
  * again elsewhere would send the call once more, beyond the retry budget of the
@@ -2072,6 +2120,7 @@
 	g_test_add_func("/mesh/store-down", test_store_down);
 	g_test_add_func("/mesh/pipelined", test_pipelined);
 	g_test_add_func("/mesh/made-call", test_inner_call);
+	g_test_add_func("/mesh/learnt-capacity", test_learnt_capacity);
 	g_test_add_func("/mesh/made-call-rejected", test_inner_call_rejected);
 	g_test_add_func("/mesh/stop", test_stop);
 	g_test_add_func(
--- a/tests/test_meshd_settings.c
+++ b/tests/test_meshd_settings.c
@@ -124,6 +124,26 @@
 	}
 }
 
+/* The capacity is learnt only if the settings say so. */
+static void
+test_learn_capacity(void)
+{
+	bf_meshd_settings_t settings;
+
+	g_assert_cmpint(
+	    load(REQUIRED_SECTIONS NODE TARGET, &settings), ==, BF_OK);
+	g_assert_false(settings.load.learn_capacity);
+	g_assert_cmpint(load(REQUIRED_SECTIONS NODE TARGET
+			    "[load]\nlearn_capacity = true\n",
+			    &settings),
+	    ==, BF_OK);
+	g_assert_true(settings.load.learn_capacity);
+	g_assert_cmpint(
+	    load(REQUIRED_SECTIONS NODE TARGET "[load]\nlearn_capacity = 1\n",
+		&settings),
+	    !=, BF_OK);
+}
+
 /* What is no figure is refused with a diagnostic, not read as zero. */
 static void
 test_no_figures(void)
@@ -191,6 +211,7 @@
 	g_test_add_func("/meshd-settings/no-figures", test_no_figures);
 	g_test_add_func("/meshd-settings/absent", test_absent_figures);
 	g_test_add_func("/meshd-settings/zones", check_zones);
+	g_test_add_func("/meshd-settings/learn-capacity", test_learn_capacity);
 	status = g_test_run();
 	apr_pool_destroy(pool);
 	apr_terminate();
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -82,6 +82,41 @@
 	check_all(85, 1);
 }
 
+/*
+ * With learn_capacity, targets that slow down before their slots are full serve
+ * far more calls, and others lose next to nothing by the probes.
+ */
+static void
+test_learnt_capacity(void)
+{
+	static const char *const knees[] = { "knee", "knee-speed" };
+	static const char *const others[] = { "burst", "calm", "slow" };
+	bf_pattern_t *pattern;
+	bf_error_t err;
+	char *path;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(knees); i++) {
+		path = g_strdup_printf(
+		    "tests/traces/capacity/%s.pattern", knees[i]);
+		pattern = bf_pattern_read(path, &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_LEARN, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) + 0.3);
+		bf_pattern_free(pattern);
+		g_free(path);
+	}
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		path = g_strdup_printf(FOLDER "/%s.pattern", others[i]);
+		pattern = bf_pattern_read(path, &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_LEARN, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) - 0.004);
+		bf_pattern_free(pattern);
+		g_free(path);
+	}
+}
+
 /* No class is starved: priority decides which calls wait. */
 static void
 test_no_class_starves(void)
@@ -121,6 +156,7 @@
 	g_test_add_func("/replay/small", test_small);
 	g_test_add_func("/replay/large", test_large);
 	g_test_add_func("/replay/no-class-starves", test_no_class_starves);
+	g_test_add_func("/replay/learnt-capacity", test_learnt_capacity);
 	g_test_add_func("/replay/bad-pattern", test_bad_pattern);
 	return g_test_run();
 }
