Plan the share of calls that leave the availability zone

Cause: each call compared two targets of its zone with two of the others, so calls left for zones where the same wave of load arrived.

Nothing leaves while the zone serves its calls within the objective and the wait that zone_cost allows, nor for zones that are about as full. Bodies over 8 KiB and routes with larger answers stay while the zone takes them. Event zones, gauge bf_zone_share_ppm. Replay policy zones.

--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -5,6 +5,7 @@
 
 #include "bench/load_sim.h"
 #include "capacity/estimator.h"
+#include "capacity/zones.h"
 #include "mesh/balance.h"
 #include "mesh/call_queue.h"
 
@@ -23,6 +24,7 @@
 #define OWN_ZONE_OBJECTIVE_SHARE 0.85
 #define OWN_ZONE_DELAY_SHARE 0.6
 #define RETRIES_PER_CALL 0.17
+#define ZONE_COST 0.4
 
 typedef enum bf_pattern_fault_kind {
 	FAULT_BURST,
@@ -133,7 +135,8 @@
 	bf_candidate_t *candidates; /* [entry][target], as known at the entry */
 	uint32_t *next_target;      /* by entry, for round robin */
 	double *retry_tokens;       /* by entry: retries that it may make */
-	double capacity;            /* sum of speed * slots over all targets */
+	bf_zone_plan_t plans[NODES_MAX]; /* by entry */
+	double capacity; /* sum of speed * slots over all targets */
 	bf_time_us_t now_us;
 	bf_sim_result_t *result;
 	uint64_t served;
@@ -385,6 +388,70 @@
 	return best;
 }
 
+static void
+update_plan(bf_sim_t *sim, uint32_t entry)
+{
+	bf_zone_load_t zones[ZONES] = { 0 };
+	uint32_t i;
+
+	if (!bf_zone_plan_due(&sim->plans[entry], sim->now_us))
+		return;
+	for (i = 0; i < sim->nodes; i++) {
+		const bf_candidate_t *candidate = candidate_of(sim, entry, i);
+
+		if (is_partitioned(sim, entry, i) || is_down(sim, i))
+			continue;
+		zones[i % ZONES].slots += candidate->slots;
+		zones[i % ZONES].busy += candidate->running +
+		    candidate->waiting + candidate->sent_since_report;
+		zones[i % ZONES].work_us +=
+		    (double)candidate->slots * candidate->mean_run_us;
+	}
+	bf_zone_plan_update(&sim->plans[entry], zones, ZONES, entry % ZONES,
+	    ZONE_COST, sim->now_us);
+}
+
+/*
+ * Chooses the zone by the plan, then the target inside it.  A call that would
+ * miss its objective in the own zone leaves if another one has room.
+ */
+static size_t
+choose_by_plan(bf_sim_t *sim, const bf_sim_call_t *call,
+    const bf_candidate_t *open, const uint32_t *index, size_t count)
+{
+	static bf_candidate_t in_zone[NODES_MAX];
+	static size_t at[NODES_MAX];
+	bf_zone_plan_t *plan = &sim->plans[call->entry];
+	double left_us = (double)(call->objective_at_us - sim->now_us);
+	bf_zone_preference_t preference = { 0 };
+	bool refused = call->refusals > 0;
+	size_t zone, own = call->entry % ZONES, kept, i, chosen;
+
+	bf_zone_plan_count(plan, call->objective_at_us - call->arrived_at_us);
+	update_plan(sim, call->entry);
+	for (;;) {
+		zone = bf_zone_plan_choose(
+		    plan, own, false, refused, uniform(&sim->policy_random));
+		kept = 0;
+		for (i = 0; i < count; i++) {
+			if (index[i] % ZONES != zone)
+				continue;
+			in_zone[kept] = open[i];
+			at[kept++] = i;
+		}
+		if (kept == 0)
+			return bf_candidate_choose(
+			    open, count, &preference, &sim->policy_random);
+		chosen = bf_candidate_choose(
+		    in_zone, kept, &preference, &sim->policy_random);
+		if (refused || zone != own ||
+		    (double)bf_candidate_expected_us(&in_zone[chosen]) <=
+			OWN_ZONE_OBJECTIVE_SHARE * left_us)
+			return at[chosen];
+		refused = true;
+	}
+}
+
 /* Chooses by load reports, among the reachable targets not tried yet. */
 static uint32_t
 choose_by_reports(bf_sim_t *sim, const bf_sim_call_t *call)
@@ -405,6 +472,8 @@
 	}
 	if (count == 0)
 		return UINT32_MAX;
+	if (sim->policy == BF_POLICY_ZONES)
+		return index[choose_by_plan(sim, call, open, index, count)];
 	switch (sim->policy) {
 	case BF_POLICY_MESH:
 	case BF_POLICY_LEARN:
@@ -496,7 +565,7 @@
 uses_call_queue(const bf_sim_t *sim)
 {
 	return sim->policy == BF_POLICY_MESH || learns(sim) ||
-	    sim->policy == BF_POLICY_PERFECT;
+	    sim->policy == BF_POLICY_ZONES || sim->policy == BF_POLICY_PERFECT;
 }
 
 /* A call arrives at the node beside the target. */
@@ -815,7 +884,8 @@
 bf_policy_name(bf_policy_t policy)
 {
 	static const char *const names[] = { "mesh", "two-choices",
-		"stale-least", "round-robin", "random", "perfect", "learn" };
+		"stale-least", "round-robin", "random", "perfect", "learn",
+		"zones" };
 
 	return names[policy];
 }
--- a/bench/load_sim.h
+++ b/bench/load_sim.h
@@ -22,6 +22,7 @@
 	BF_POLICY_RANDOM,
 	BF_POLICY_PERFECT, /* chooses with the actual state of all targets */
 	BF_POLICY_LEARN,   /* the mesh with load.learn_capacity */
+	BF_POLICY_ZONES,   /* the mesh with load.zone_cost, 0.4 */
 	BF_POLICY_COUNT
 } bf_policy_t;
 
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -581,6 +581,24 @@
 	};
 }
 
+static size_t
+choose_planned(const bf_entry_call_t *call, const bf_candidate_t *candidates,
+    bf_peer_t *const *peers, size_t count, bf_time_us_t now_us)
+{
+	bf_zone_call_t zone_call = {
+		.service = call->service,
+		.route = call->route->name,
+		.objective_us = call->objective_us - call->began_us,
+		.remaining_us = call->objective_us - now_us,
+		.is_large = bf_bytes_count(&call->request->message->body) >
+		    LARGE_BODY_BYTES,
+		.refused = call->busy_count > 0,
+	};
+
+	return bf_zones_choose(
+	    call->mesh, &zone_call, candidates, peers, count, now_us);
+}
+
 /* Offers the call to the best node not tried yet, or ends it. */
 static void
 offer_next(bf_entry_call_t *call, bf_time_us_t now_us)
@@ -611,8 +629,10 @@
 		return;
 	}
 	preference = zone_preference(call, now_us);
-	chosen = bf_candidate_choose(
-	    candidates, count, &preference, &call->mesh->random);
+	chosen = call->mesh->options.plan_zones
+	    ? choose_planned(call, candidates, peers, count, now_us)
+	    : bf_candidate_choose(
+		  candidates, count, &preference, &call->mesh->random);
 	if (candidates[chosen].running + candidates[chosen].waiting >=
 		candidates[chosen].slots &&
 	    should_throttle(call, now_us)) {
@@ -725,6 +745,9 @@
 	    reply->status < 500 ? "answered" : "failed", 1);
 	if (retry_server_error(call, reply, now_us))
 		return;
+	if (call->mesh->options.plan_zones)
+		bf_zones_count_answer(
+		    call->mesh, call->route->name, reply->body_bytes);
 	log_finished(call, reply->status,
 	    reply->status < 500 ? "answered" : "failed", BF_CAUSE_NONE, now_us);
 	finish(
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -6,6 +6,7 @@
 
 #include "base/digest.h"
 #include "capacity/estimator.h"
+#include "capacity/zones.h"
 #include "http/client.h"
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
@@ -358,6 +359,38 @@
 	BF_STORE_PURPOSES
 } bf_store_purpose_t;
 
+/* The plans by service, with the zones that their indices stand for. */
+typedef struct bf_service_zone_plan {
+	char service[BF_NAME_BYTES];
+	bf_zone_plan_t plan;
+	double logged_share;
+} bf_service_zone_plan_t;
+
+/* Mean size of the answers of a route. */
+typedef struct bf_route_answers {
+	uint32_t route; /* hash of its name */
+	double mean_bytes;
+} bf_route_answers_t;
+
+typedef struct bf_zone_plans {
+	char zones[BF_ZONES_MAX][BF_NAME_BYTES];
+	size_t zone_count;
+	bf_service_zone_plan_t plans[BF_SERVICES_MAX];
+	uint32_t count;
+	bf_route_answers_t answers[BF_ROUTE_THROTTLES_MAX];
+	uint32_t answer_count;
+} bf_zone_plans_t;
+
+/* What the choice of a zone needs to know of a call. */
+typedef struct bf_zone_call {
+	const char *service;
+	const char *route;
+	bf_time_us_t objective_us; /* from its arrival */
+	bf_time_us_t remaining_us; /* of the objective */
+	bool is_large; /* its body; routes with large answers are known */
+	bool refused;  /* by a target */
+} bf_zone_call_t;
+
 typedef struct bf_mesh_metrics {
 	bf_metric_family_t *calls;    /* by outcome */
 	bf_metric_family_t *capacity; /* learnt; gauge, with learn_capacity */
@@ -381,6 +414,7 @@
 	bf_metric_family_t *freshness_asks; /* by result */
 	bf_metric_family_t *iteration;      /* of the event loop */
 	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
+	bf_metric_family_t *zone_share;     /* by service, with plan_zones */
 } bf_mesh_metrics_t;
 
 /* How often nodes report to each other, and when silence is a failure. */
@@ -402,7 +436,8 @@
 	bf_events_t *events;
 	bf_mesh_metrics_t metrics;
 	apr_pool_t *pool;
-	uint64_t random; /* generator state, see bf_random_next */
+	uint64_t random;            /* generator state, see bf_random_next */
+	bf_zone_plans_t zone_plans; /* used with plan_zones */
 	uint64_t incarnation;
 	bf_wire_writer_t writer; /* reused for every frame sent */
 
@@ -733,6 +768,14 @@
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* The run at the own target that made the call of this id, or NULL. */
+/* Learns the size of the answers of a route; with plan_zones. */
+void bf_zones_count_answer(bf_mesh_t *mesh, const char *route, size_t bytes);
+
+/* Index of the candidate to send the call to; count is at least 1. */
+size_t bf_zones_choose(bf_mesh_t *mesh, const bf_zone_call_t *call,
+    const bf_candidate_t *candidates, bf_peer_t *const *peers, size_t count,
+    bf_time_us_t now_us);
+
 void bf_target_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us);
 
 bf_target_call_t *bf_target_find_parent(const bf_mesh_t *mesh, const char *id);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -55,6 +55,10 @@
 	    "Configuration in force: its version and its age", "figure");
 	m->queue = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_target_calls",
 	    "Calls at the target beside this node", "state");
+	m->zone_share =
+	    bf_metrics_add(set, BF_METRIC_GAUGE, "bf_zone_share_ppm",
+		"Planned share of calls that leave the zone, in millionths",
+		"service");
 	m->capacity = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_learnt_capacity",
 	    "Learnt capacity of the target beside this node", "figure");
 	m->connections = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_connections",
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -53,6 +53,8 @@
 	uint32_t cold_slack;
 	uint32_t evacuate_ms;
 	bool learn_capacity;
+	bool plan_zones; /* zone_cost_ppm is set */
+	uint32_t zone_cost_ppm;
 } bf_mesh_options_t;
 
 /* A heartbeat of the target beside this node. */
--- a/observe/events.c
+++ b/observe/events.c
@@ -41,6 +41,7 @@
 	[BF_EVENT_MEMBER] = { "member", 20 },
 	[BF_EVENT_RELAY] = { "relay", 20 },
 	[BF_EVENT_TARGET] = { "target", 20 },
+	[BF_EVENT_ZONES] = { "zones", 5 },
 	[BF_EVENT_CAPACITY] = { "capacity", 5 },
 	[BF_EVENT_CONFIG] = { "config", 50 },
 	[BF_EVENT_CONFIG_REFUSED] = { "config-refused", 20 },
--- a/observe/events.h
+++ b/observe/events.h
@@ -24,12 +24,13 @@
 	BF_EVENT_STORE_ERA,  /* the store was restored from an old copy */
 	BF_EVENT_PEER_UP,
 	BF_EVENT_PEER_DOWN,
-	BF_EVENT_PEER_GONE,      /* a peer was removed */
-	BF_EVENT_MEMBER,         /* this node's own entry in the store */
-	BF_EVENT_RELAY,          /* starts or stops following operators' keys */
-	BF_EVENT_TARGET,         /* the target beside this node */
-	BF_EVENT_CAPACITY,       /* the learnt capacity of the target */
-	BF_EVENT_CONFIG,         /* a configuration was applied */
+	BF_EVENT_PEER_GONE, /* a peer was removed */
+	BF_EVENT_MEMBER,    /* this node's own entry in the store */
+	BF_EVENT_RELAY,     /* starts or stops following operators' keys */
+	BF_EVENT_TARGET,    /* the target beside this node */
+	BF_EVENT_ZONES,     /* the planned share of calls that leave the zone */
+	BF_EVENT_CAPACITY,  /* the learnt capacity of the target */
+	BF_EVENT_CONFIG,    /* a configuration was applied */
 	BF_EVENT_CONFIG_REFUSED, /* a configuration was rejected */
 	BF_EVENT_FRESHNESS,      /* keys are refused, or served again */
 	BF_EVENT_ENTRY_REFUSED,  /* an entry of the store is invalid */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -129,6 +129,7 @@
 	{ .key = "learn_capacity",
 	    .kind = BF_FIELD_BOOL,
 	    .offset = FIELD(load.learn_capacity) },
+	{ .key = "zone_cost", .kind = BF_FIELD_CUSTOM }, /* read_scaled() */
 };
 
 static const bf_field_t metric_fields[] = {
@@ -214,6 +215,7 @@
 		    .window_ms = 10000 },
 		.accounts = { .revoke_ms = 5000 },
 		.cold_targets = { .over_ppm = 1000000 },
+		.load = { .zone_cost_ppm = BF_ZONE_COST_ABSENT },
 		.log = { .sample_one_in = 200 },
 	};
 	code = bf_toml_parse_file(path, pool, &root, diagnostics);
@@ -267,5 +269,7 @@
 	    &settings->cold_targets.slack, diagnostics);
 	read_scaled(root, "evacuation", "within_ms", DURATION_S_MAX * MS_PER_S,
 	    1, &settings->evacuation.within_ms, diagnostics);
+	read_scaled(root, "load", "zone_cost", SHARE_MAX, PPM_PER_UNIT,
+	    &settings->load.zone_cost_ppm, diagnostics);
 	return bf_diagnostics_code(diagnostics);
 }
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -11,6 +11,8 @@
 
 /* Settings of basilmeshd, read from one TOML file; see basilmeshd.toml(5). */
 
+#define BF_ZONE_COST_ABSENT UINT32_MAX
+
 typedef struct bf_meshd_settings {
 	struct {
 		const char *instance;
@@ -68,6 +70,11 @@
 	struct {
 		/* Whether the capacity of the own target is learnt. */
 		bool learn_capacity;
+		/*
+		 * How much longer a call may take in the own zone, in
+		 * millionths of its objective; BF_ZONE_COST_ABSENT: not stated.
+		 */
+		uint32_t zone_cost_ppm;
 	} load;
 	struct {
 		const char *listen; /* NULL: not served */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -1111,6 +1111,43 @@
 	fixture_free(fixture);
 }
 
+/*
+ * With plan_zones calls stay in the zone of their entry while it serves them,
+ * and leave it once it has no targets.  Nodes 0 and 2 are in one zone.
+ */
+static void
+test_planned_zones(void)
+{
+	mesh_fixture_t *fixture = new_configured(4);
+	bf_mesh_t *mesh = fixture->nodes[0];
+	test_call_t call;
+	uint32_t i;
+	char id[24];
+
+	mesh->options.plan_zones = true;
+	mesh->options.zone_cost_ppm = 400000;
+	for (i = 0; i < 20; i++) {
+		(void)snprintf(id, sizeof(id), "own%u", i);
+		call = send_and_await(fixture, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+	}
+	g_assert_cmpuint(fixture->targets[1].run_count, ==, 0);
+	g_assert_cmpuint(fixture->targets[3].run_count, ==, 0);
+	g_assert_cmpuint(mesh->zone_plans.count, ==, 1);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
+	g_assert_cmpint(fixture_heartbeat(fixture, 2, "v1", true), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	for (i = 0; i < 5; i++) {
+		(void)snprintf(id, sizeof(id), "other%u", i);
+		call = send_and_await(fixture, "GET", "/read/x", id);
+		g_assert_cmpuint(call.status, ==, 200);
+	}
+	g_assert_cmpuint(
+	    fixture->targets[1].run_count + fixture->targets[3].run_count, ==,
+	    5);
+	fixture_free(fixture);
+}
+
 /*
  * A run fails because the target that it calls sheds that call.  Running it
  * again elsewhere would send the call once more, beyond the retry budget of the
@@ -2120,6 +2157,7 @@
 	g_test_add_func("/mesh/store-down", test_store_down);
 	g_test_add_func("/mesh/pipelined", test_pipelined);
 	g_test_add_func("/mesh/made-call", test_inner_call);
+	g_test_add_func("/mesh/planned-zones", test_planned_zones);
 	g_test_add_func("/mesh/learnt-capacity", test_learnt_capacity);
 	g_test_add_func("/mesh/made-call-rejected", test_inner_call_rejected);
 	g_test_add_func("/mesh/stop", test_stop);
--- a/tests/test_meshd_settings.c
+++ b/tests/test_meshd_settings.c
@@ -77,6 +77,7 @@
 	{ "[cold_targets]\n", "over", FIELD(cold_targets.over_ppm), 1000000,
 	    0 },
 	{ "[cold_targets]\n", "slack", FIELD(cold_targets.slack), 1, 0 },
+	{ "[load]\n", "zone_cost", FIELD(load.zone_cost_ppm), 1000000, 0 },
 	{ "[evacuation]\n", "within_ms", FIELD(evacuation.within_ms), 1, 0 },
 };
 
@@ -133,6 +134,7 @@
 	g_assert_cmpint(
 	    load(REQUIRED_SECTIONS NODE TARGET, &settings), ==, BF_OK);
 	g_assert_false(settings.load.learn_capacity);
+	g_assert_cmpuint(settings.load.zone_cost_ppm, ==, BF_ZONE_COST_ABSENT);
 	g_assert_cmpint(load(REQUIRED_SECTIONS NODE TARGET
 			    "[load]\nlearn_capacity = true\n",
 			    &settings),
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -117,6 +117,40 @@
 	}
 }
 
+/*
+ * With zone_cost, far fewer calls leave their zone under a burst in all zones,
+ * and about as many are served.
+ */
+static void
+test_planned_zones(void)
+{
+	static const char *const paths[] = { FOLDER "/burst.pattern",
+		FOLDER "/calm.pattern", FOLDER "/slow-many.pattern",
+		"tests/traces/capacity/zone.pattern",
+		"tests/traces/capacity/zone-wave.pattern" };
+	bf_sim_result_t before, after;
+	bf_pattern_t *pattern;
+	bf_error_t err;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		pattern = bf_pattern_read(paths[i], &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_ZONES, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) - 0.003);
+		bf_pattern_simulate(pattern, BF_POLICY_MESH, 0, 1, &before);
+		bf_pattern_simulate(pattern, BF_POLICY_ZONES, 0, 1, &after);
+		g_test_message("%s: %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+			       " runs outside, planned %" G_GUINT64_FORMAT,
+		    paths[i], before.runs_outside, before.runs,
+		    after.runs_outside);
+		if (i == 0 || i == 2)
+			g_assert_cmpuint(after.runs_outside * 10, <,
+			    before.runs_outside * 8);
+		bf_pattern_free(pattern);
+	}
+}
+
 /* No class is starved: priority decides which calls wait. */
 static void
 test_no_class_starves(void)
@@ -156,6 +190,7 @@
 	g_test_add_func("/replay/small", test_small);
 	g_test_add_func("/replay/large", test_large);
 	g_test_add_func("/replay/no-class-starves", test_no_class_starves);
+	g_test_add_func("/replay/planned-zones", test_planned_zones);
 	g_test_add_func("/replay/learnt-capacity", test_learnt_capacity);
 	g_test_add_func("/replay/bad-pattern", test_bad_pattern);
 	return g_test_run();
