--- a/bench/load_sim.c
+++ b/bench/load_sim.c
@@ -4,6 +4,8 @@
 #include <string.h>
 
 #include "bench/load_sim.h"
+#include "capacity/estimator.h"
+#include "capacity/zones.h"
 #include "fairness/refusals.h"
 #include "mesh/balance.h"
 #include "mesh/call_queue.h"
@@ -29,6 +31,7 @@
 #define JITTER_MAX_US (400 * BF_US_PER_MS)
 /* Weight of the newest run in the mean of its class, as in mesh/target.c. */
 #define CLASS_WEIGHT 0.08
+#define ZONE_COST 0.4
 
 typedef enum bf_pattern_fault_kind {
 	FAULT_BURST,
@@ -38,18 +41,19 @@
 	FAULT_PARTITION,
 	FAULT_RESTART,
 	FAULT_FLOOD,
-	FAULT_SURGE
+	FAULT_SURGE,
+	FAULT_ZONE
 } bf_pattern_fault_kind_t;
 
 static const char *const fault_names[] = { "burst", "slow", "grey", "cold",
-	"cut", "restart", "flood", "surge" };
+	"cut", "restart", "flood", "surge", "zone" };
 
 typedef struct bf_pattern_fault {
 	bf_pattern_fault_kind_t kind;
 	double start_s;
 	double duration_s;
 	/*
-	 * Share of the targets affected; for a partition the zone's index, for
+	 * Share of the targets affected; for cut and zone the zone's index, for
 	 * a flood the account's, for a surge the class's.
 	 */
 	double share;
@@ -75,6 +79,8 @@
 struct bf_pattern {
 	uint32_t nodes;
 	uint32_t slots;
+	uint32_t knee; /* runs that a target takes without slowing down */
+	double slope;  /* slowdown for each run beyond that */
 	double speeds[SPEEDS_MAX];
 	uint32_t speed_count;
 	double seconds; /* during which calls arrive */
@@ -109,6 +115,7 @@
 	bool makes_child;
 	bf_time_us_t left_us;     /* until its objective, at its first offer */
 	bf_time_us_t min_wait_us; /* that a refusal stated; 0: none */
+	bf_capacity_run_t capacity_run;
 	const bf_pattern_class_t *class;
 	uint32_t class_index;
 	uint32_t entry;
@@ -136,6 +143,7 @@
 
 typedef struct bf_sim_target {
 	bf_call_queue_t call_queue;
+	bf_capacity_t capacity;
 	double speed;
 	double failure_rate; /* moving average, measured by its node */
 	uint32_t running;
@@ -159,7 +167,8 @@
 	uint32_t *next_target;      /* by entry, for round robin */
 	bf_refusals_t *refusals;    /* by entry */
 	double *retry_tokens;       /* by entry: retries that it may make */
-	double capacity;            /* sum of speed * slots over all targets */
+	bf_zone_plan_t plans[NODES_MAX]; /* by entry */
+	double capacity; /* sum of speed * slots over all targets */
 	bf_time_us_t now_us;
 	bf_sim_result_t *result;
 	uint64_t served;
@@ -284,6 +293,30 @@
 	return &sim->candidates[entry * sim->nodes + target];
 }
 
+static bool
+learns(const bf_sim_t *sim)
+{
+	return sim->policy == BF_POLICY_LEARN;
+}
+
+/* As in mesh/target.c. */
+static void
+apply_learnt_load(
+    const bf_sim_t *sim, const bf_sim_target_t *t, bf_candidate_t *candidate)
+{
+	bf_time_us_t run_us;
+	uint32_t running = t->running + 1;
+
+	candidate->slots = bf_capacity_learnt_slots(&t->capacity);
+	if (running > t->capacity.learnt)
+		running = t->capacity.learnt;
+	run_us = bf_capacity_expected_us(&t->capacity, running, sim->now_us);
+	if (run_us > 0 &&
+	    (candidate->mean_run_us <= (uint32_t)t->call_queue.mean_run_us ||
+		candidate->mean_run_us < run_us))
+		candidate->mean_run_us = (uint32_t)run_us;
+}
+
 static void
 update_candidate(bf_sim_t *sim, uint32_t entry, uint32_t target)
 {
@@ -294,6 +327,8 @@
 	candidate->waiting = t->call_queue.count + t->queued;
 	candidate->mean_run_us =
 	    (uint32_t)bf_call_queue_current_run_us(&t->call_queue, sim->now_us);
+	if (learns(sim))
+		apply_learnt_load(sim, t, candidate);
 	candidate->failure_ppm = (uint32_t)(t->failure_rate * 1000000);
 	candidate->sent_since_report = 0;
 }
@@ -481,6 +516,70 @@
 	return best;
 }
 
+static void
+update_plan(bf_sim_t *sim, uint32_t entry)
+{
+	bf_zone_load_t zones[ZONES] = { 0 };
+	uint32_t i;
+
+	if (!bf_zone_plan_due(&sim->plans[entry], sim->now_us))
+		return;
+	for (i = 0; i < sim->nodes; i++) {
+		const bf_candidate_t *candidate = candidate_of(sim, entry, i);
+
+		if (is_partitioned(sim, entry, i) || is_down(sim, i))
+			continue;
+		zones[i % ZONES].slots += candidate->slots;
+		zones[i % ZONES].busy += candidate->running +
+		    candidate->waiting + candidate->sent_since_report;
+		zones[i % ZONES].work_us +=
+		    (double)candidate->slots * candidate->mean_run_us;
+	}
+	bf_zone_plan_update(&sim->plans[entry], zones, ZONES, entry % ZONES,
+	    ZONE_COST, sim->now_us);
+}
+
+/*
+ * Chooses the zone by the plan, then the target inside it.  A call that would
+ * miss its objective in the own zone leaves if another one has room.
+ */
+static size_t
+choose_by_plan(bf_sim_t *sim, const bf_sim_call_t *call,
+    const bf_candidate_t *open, const uint32_t *index, size_t count)
+{
+	static bf_candidate_t in_zone[NODES_MAX];
+	static size_t at[NODES_MAX];
+	bf_zone_plan_t *plan = &sim->plans[call->entry];
+	double left_us = (double)(call->objective_at_us - sim->now_us);
+	bf_zone_preference_t preference = { 0 };
+	bool refused = call->refusals > 0;
+	size_t zone, own = call->entry % ZONES, kept, i, chosen;
+
+	bf_zone_plan_count(plan, call->objective_at_us - call->arrived_at_us);
+	update_plan(sim, call->entry);
+	for (;;) {
+		zone = bf_zone_plan_choose(
+		    plan, own, false, refused, uniform(&sim->policy_random));
+		kept = 0;
+		for (i = 0; i < count; i++) {
+			if (index[i] % ZONES != zone)
+				continue;
+			in_zone[kept] = open[i];
+			at[kept++] = i;
+		}
+		if (kept == 0)
+			return bf_candidate_choose(
+			    open, count, &preference, &sim->policy_random);
+		chosen = bf_candidate_choose(
+		    in_zone, kept, &preference, &sim->policy_random);
+		if (refused || zone != own ||
+		    (double)bf_candidate_expected_us(&in_zone[chosen]) <=
+			OWN_ZONE_OBJECTIVE_SHARE * left_us)
+			return at[chosen];
+		refused = true;
+	}
+}
+
 /* Chooses by load reports, among the reachable targets not tried yet. */
 static uint32_t
 choose_by_reports(bf_sim_t *sim, const bf_sim_call_t *call)
@@ -502,9 +601,12 @@
 	}
 	if (count == 0)
 		return UINT32_MAX;
+	if (sim->policy == BF_POLICY_ZONES)
+		return index[choose_by_plan(sim, call, open, index, count)];
 	switch (sim->policy) {
 	case BF_POLICY_MESH:
 	case BF_POLICY_UNSHARED:
+	case BF_POLICY_LEARN:
 		preference.answer_within_us =
 		    (bf_time_us_t)(OWN_ZONE_OBJECTIVE_SHARE *
 			(double)(call->objective_at_us - sim->now_us));
@@ -586,9 +688,18 @@
 	const bf_pattern_fault_t *grey =
 	    fault_on(sim, FAULT_GREY, call->target);
 	double took_us = call->work_us / actual_speed(sim, call->target);
+	bf_sim_target_t *target = &sim->targets[call->target];
+	uint32_t running;
 
 	call->started_at_us = sim->now_us;
-	sim->targets[call->target].running++;
+	running = ++target->running;
+	if (sim->pattern->knee > 0 && running > sim->pattern->knee)
+		took_us *=
+		    1 + sim->pattern->slope * (running - sim->pattern->knee);
+	bf_capacity_begin(&target->capacity, &call->capacity_run, sim->now_us);
+	sim->result->runs++;
+	if (call->target % ZONES != call->entry % ZONES)
+		sim->result->runs_outside++;
 	call->fails =
 	    grey != NULL && uniform(&sim->policy_random) < grey->strength;
 	if (call->fails)
@@ -624,8 +735,8 @@
 uses_call_queue(const bf_sim_t *sim)
 {
 	return sim->policy == BF_POLICY_MESH ||
-	    sim->policy == BF_POLICY_UNSHARED ||
-	    sim->policy == BF_POLICY_PERFECT;
+	    sim->policy == BF_POLICY_UNSHARED || learns(sim) ||
+	    sim->policy == BF_POLICY_ZONES || sim->policy == BF_POLICY_PERFECT;
 }
 
 /* As its node knows it: of all runs, or of those of the class. */
@@ -705,6 +816,19 @@
 	    --target->queued * sizeof(bf_sim_call_t *));
 }
 
+static void
+learn_run(bf_sim_t *sim, bf_sim_target_t *target, bf_sim_call_t *call)
+{
+	bf_capacity_set_percent(&target->capacity,
+	    (uint32_t)(100 * target->speed / actual_speed(sim, call->target)),
+	    sim->now_us);
+	bf_capacity_end(&target->capacity, &call->capacity_run,
+	    call->class_index, !call->fails, sim->now_us);
+	if (learns(sim))
+		target->call_queue.slots = bf_capacity_slots(&target->capacity,
+		    target->call_queue.count > 0, sim->now_us);
+}
+
 static void
 end_run(bf_sim_t *sim, bf_sim_call_t *call)
 {
@@ -726,6 +850,7 @@
 		    &target->call_queue, &call->queue_entry, spent_us);
 	else
 		bf_call_queue_count_run(&target->call_queue, spent_us);
+	learn_run(sim, target, call);
 	if (call->fails || sim->now_us > call->deadline_at_us)
 		sim->result->wasted_s += (double)spent_us / BF_US_PER_S;
 	send_reply(sim, call, false);
@@ -885,6 +1010,24 @@
 	    EVENT_ARRIVAL, NULL);
 }
 
+/*
+ * The entry of a call.  While a zone has more load than the others, entries are
+ * drawn again until one is accepted with a probability by its zone's load.
+ */
+static uint32_t
+draw_entry(bf_sim_t *sim)
+{
+	const bf_pattern_fault_t *fault = active_fault(sim, FAULT_ZONE);
+	uint32_t entry;
+
+	do {
+		entry = (uint32_t)(uniform(&sim->call_random) * sim->nodes) %
+		    sim->nodes;
+	} while (fault != NULL && entry % ZONES != (uint32_t)fault->share &&
+	    uniform(&sim->call_random) * fault->strength >= 1);
+	return entry;
+}
+
 static void
 handle_arrival(bf_sim_t *sim)
 {
@@ -900,8 +1043,7 @@
 		pick -= class_rate(sim, i++);
 	call->class = &p->classes[i];
 	call->class_index = i;
-	call->entry =
-	    (uint32_t)(uniform(&sim->call_random) * sim->nodes) % sim->nodes;
+	call->entry = draw_entry(sim);
 	/* Work times have a gamma distribution of shape 4. */
 	spread = -log((1 - uniform(&sim->call_random)) *
 		     (1 - uniform(&sim->call_random)) *
@@ -990,6 +1132,7 @@
 	for (i = 0; i < sim->nodes; i++) {
 		bf_call_queue_init(&sim->targets[i].call_queue, p->slots);
 		sim->targets[i].call_queue.keeps_reserve = is_shared(sim);
+		bf_capacity_init(&sim->targets[i].capacity, p->slots, 0);
 		sim->targets[i].speed = p->speeds[i % p->speed_count];
 		sim->capacity += sim->targets[i].speed * p->slots;
 		sim->next_target[i] = i;
@@ -1059,7 +1202,8 @@
 bf_policy_name(bf_policy_t policy)
 {
 	static const char *const names[] = { "mesh", "two-choices",
-		"stale-least", "round-robin", "random", "unshared", "perfect" };
+		"stale-least", "round-robin", "random", "unshared", "perfect",
+		"learn", "zones" };
 
 	return names[policy];
 }
@@ -1182,6 +1326,7 @@
 		return read_speeds(pattern, line + 7);
 	return sscanf(line, "nodes %u", &pattern->nodes) == 1 ||
 	    sscanf(line, "slots %u", &pattern->slots) == 1 ||
+	    sscanf(line, "knee %u %lf", &pattern->knee, &pattern->slope) == 2 ||
 	    sscanf(line, "seconds %lf", &pattern->seconds) == 1 ||
 	    sscanf(line, "load %lf", &pattern->load) == 1 ||
 	    read_sharing(pattern, line) || read_fault(pattern, line);
--- a/bench/load_sim.h
+++ b/bench/load_sim.h
@@ -22,6 +22,8 @@
 	BF_POLICY_RANDOM,
 	BF_POLICY_UNSHARED, /* the mesh without the modules of fairness/ */
 	BF_POLICY_PERFECT,  /* chooses with the actual state of all targets */
+	BF_POLICY_LEARN,    /* the mesh with load.learn_capacity */
+	BF_POLICY_ZONES,    /* the mesh with load.zone_cost, 0.4 */
 	BF_POLICY_COUNT
 } bf_policy_t;
 
@@ -55,6 +57,8 @@
 	double wasted_s; /* run time of calls that failed or were too late */
 	double mean_wait_ms; /* of answered calls, from arrival to the run */
 	uint64_t offers;     /* of calls to nodes beside targets */
+	uint64_t runs;
+	uint64_t runs_outside; /* of them, outside the zone of the entry */
 } bf_sim_result_t;
 
 typedef struct bf_pattern bf_pattern_t;
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -6,6 +6,8 @@
 
 #include "base/digest.h"
 #include "fairness/refusals.h"
+#include "capacity/estimator.h"
+#include "capacity/zones.h"
 #include "http/client.h"
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
@@ -281,7 +283,8 @@
 
 	bf_http_client_t client;
 	bf_call_queue_t queue;
-	bf_body_pulls_t pulls; /* bodies of calls that are not queued yet */
+	bf_capacity_t capacity; /* used with learn_capacity */
+	bf_body_pulls_t pulls;  /* bodies of calls that are not queued yet */
 	bf_route_latency_t latencies[BF_ROUTE_LATENCIES_MAX];
 	uint32_t latency_count;
 	double failure_share; /* of recent runs, at failure_share_at_us */
@@ -362,15 +365,48 @@
 	BF_STORE_PURPOSES
 } bf_store_purpose_t;
 
+/* The plans by service, with the zones that their indices stand for. */
+typedef struct bf_service_zone_plan {
+	char service[BF_NAME_BYTES];
+	bf_zone_plan_t plan;
+	double logged_share;
+} bf_service_zone_plan_t;
+
+/* Mean size of the answers of a route. */
+typedef struct bf_route_answers {
+	uint32_t route; /* hash of its name */
+	double mean_bytes;
+} bf_route_answers_t;
+
+typedef struct bf_zone_plans {
+	char zones[BF_ZONES_MAX][BF_NAME_BYTES];
+	size_t zone_count;
+	bf_service_zone_plan_t plans[BF_SERVICES_MAX];
+	uint32_t count;
+	bf_route_answers_t answers[BF_ROUTE_THROTTLES_MAX];
+	uint32_t answer_count;
+} bf_zone_plans_t;
+
+/* What the choice of a zone needs to know of a call. */
+typedef struct bf_zone_call {
+	const char *service;
+	const char *route;
+	bf_time_us_t objective_us; /* from its arrival */
+	bf_time_us_t remaining_us; /* of the objective */
+	bool is_large; /* its body; routes with large answers are known */
+	bool refused;  /* by a target */
+} bf_zone_call_t;
+
 typedef struct bf_mesh_metrics {
-	bf_metric_family_t *calls;   /* by outcome */
-	bf_metric_family_t *causes;  /* of calls without an answer, by cause */
-	bf_metric_family_t *latency; /* by service */
-	bf_metric_family_t *offers;  /* by result */
-	bf_metric_family_t *runs;    /* at the own target, by result */
-	bf_metric_family_t *waited;  /* time in the queue for a slot */
-	bf_metric_family_t *spent;   /* time at the own target */
-	bf_metric_family_t *retries; /* by result */
+	bf_metric_family_t *calls;    /* by outcome */
+	bf_metric_family_t *capacity; /* learnt; gauge, with learn_capacity */
+	bf_metric_family_t *causes;   /* of calls without an answer, by cause */
+	bf_metric_family_t *latency;  /* by service */
+	bf_metric_family_t *offers;   /* by result */
+	bf_metric_family_t *runs;     /* at the own target, by result */
+	bf_metric_family_t *waited;   /* time in the queue for a slot */
+	bf_metric_family_t *spent;    /* time at the own target */
+	bf_metric_family_t *retries;  /* by result */
 	bf_metric_family_t *store_calls;    /* by result */
 	bf_metric_family_t *store_purposes; /* by purpose */
 	bf_metric_family_t *peers;          /* by state */
@@ -386,6 +422,7 @@
 	bf_metric_family_t *memory;         /* bytes held, by side */
 	bf_metric_family_t *refused_bodies; /* by reason */
 	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
+	bf_metric_family_t *zone_share;     /* by service, with plan_zones */
 } bf_mesh_metrics_t;
 
 /* How often nodes report to each other, and when silence is a failure. */
@@ -407,7 +444,8 @@
 	bf_events_t *events;
 	bf_mesh_metrics_t metrics;
 	apr_pool_t *pool;
-	uint64_t random; /* generator state, see bf_random_next */
+	uint64_t random;            /* generator state, see bf_random_next */
+	bf_zone_plans_t zone_plans; /* used with plan_zones */
 	uint64_t incarnation;
 	bf_wire_writer_t writer; /* reused for every frame sent */
 
@@ -744,6 +782,16 @@
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* The run at the own target that made the call of this id, or NULL. */
+/* Learns the size of the answers of a route; with plan_zones. */
+void bf_zones_count_answer(bf_mesh_t *mesh, const char *route, size_t bytes);
+
+/* Index of the candidate to send the call to; count is at least 1. */
+size_t bf_zones_choose(bf_mesh_t *mesh, const bf_zone_call_t *call,
+    const bf_candidate_t *candidates, bf_peer_t *const *peers, size_t count,
+    bf_time_us_t now_us);
+
+void bf_target_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us);
+
 bf_target_call_t *bf_target_find_parent(const bf_mesh_t *mesh, const char *id);
 uint32_t bf_target_call_priority(const bf_target_call_t *call);
 bool bf_target_call_is_retry(const bf_target_call_t *call);
@@ -751,6 +799,13 @@
 uint64_t bf_target_call_account_id(const bf_target_call_t *call);
 /* Marks the run that made the call of this id, which was refused as busy. */
 void bf_target_mark_dependency_busy(bf_mesh_t *mesh, const char *id);
+
+/*
+ * The run that made the call of this id waits for its end, or has got it.
+ * Nothing happens without learn_capacity or if the run has ended.
+ */
+void bf_target_parent_blocked(
+    bf_mesh_t *mesh, const char *id, bool blocked, bf_time_us_t now_us);
 /* Calls that run or wait at the own target. */
 uint32_t bf_target_call_count(const bf_mesh_t *mesh);
 
--- a/tests/test_replay.c
+++ b/tests/test_replay.c
@@ -82,6 +82,75 @@
 	check_all(85, 1);
 }
 
+/*
+ * With learn_capacity, targets that slow down before their slots are full serve
+ * far more calls, and others lose next to nothing by the probes.
+ */
+static void
+test_learnt_capacity(void)
+{
+	static const char *const knees[] = { "knee", "knee-speed" };
+	static const char *const others[] = { "burst", "calm", "slow" };
+	bf_pattern_t *pattern;
+	bf_error_t err;
+	char *path;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(knees); i++) {
+		path = g_strdup_printf(
+		    "tests/traces/capacity/%s.pattern", knees[i]);
+		pattern = bf_pattern_read(path, &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_LEARN, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) + 0.3);
+		bf_pattern_free(pattern);
+		g_free(path);
+	}
+	for (i = 0; i < G_N_ELEMENTS(others); i++) {
+		path = g_strdup_printf(FOLDER "/%s.pattern", others[i]);
+		pattern = bf_pattern_read(path, &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_LEARN, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) - 0.004);
+		bf_pattern_free(pattern);
+		g_free(path);
+	}
+}
+
+/*
+ * With zone_cost, far fewer calls leave their zone under a burst in all zones,
+ * and about as many are served.
+ */
+static void
+test_planned_zones(void)
+{
+	static const char *const paths[] = { FOLDER "/burst.pattern",
+		FOLDER "/calm.pattern", FOLDER "/slow-many.pattern",
+		"tests/traces/capacity/zone.pattern",
+		"tests/traces/capacity/zone-wave.pattern" };
+	bf_sim_result_t before, after;
+	bf_pattern_t *pattern;
+	bf_error_t err;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(paths); i++) {
+		pattern = bf_pattern_read(paths[i], &err);
+		g_assert_nonnull(pattern);
+		g_assert_cmpfloat(earned_share(pattern, BF_POLICY_ZONES, 0, 5),
+		    >, earned_share(pattern, BF_POLICY_MESH, 0, 5) - 0.003);
+		bf_pattern_simulate(pattern, BF_POLICY_MESH, 0, 1, &before);
+		bf_pattern_simulate(pattern, BF_POLICY_ZONES, 0, 1, &after);
+		g_test_message("%s: %" G_GUINT64_FORMAT " of %" G_GUINT64_FORMAT
+			       " runs outside, planned %" G_GUINT64_FORMAT,
+		    paths[i], before.runs_outside, before.runs,
+		    after.runs_outside);
+		if (i == 0 || i == 2)
+			g_assert_cmpuint(after.runs_outside * 10, <,
+			    before.runs_outside * 8);
+		bf_pattern_free(pattern);
+	}
+}
+
 /* No class is starved: priority decides which calls wait. */
 static void
 test_no_class_starves(void)
@@ -229,6 +298,8 @@
 	g_test_add_func("/replay/no-class-starves", test_no_class_starves);
 	g_test_add_func("/replay/flooding-account", test_flooding_account);
 	g_test_add_func("/replay/dependency", test_dependency);
+	g_test_add_func("/replay/planned-zones", test_planned_zones);
+	g_test_add_func("/replay/learnt-capacity", test_learnt_capacity);
 	g_test_add_func("/replay/bad-pattern", test_bad_pattern);
 	return g_test_run();
 }
