Play a restored store in the soak test

Cause: no random test covered a store that comes back from an old copy.

Change: the stand-in store states an era, is copied every ten faults and is restored at one store fault in six; the operator then writes its configuration again.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -66,6 +66,8 @@
 #define LONG_BODY_BYTES ((size_t)250000)
 /* One fault in this many is followed by the next one at once. */
 #define SERIES_ONE_IN 4
+/* The store is copied at every so many faults, about every 3 s. */
+#define COPY_EVERY_FAULTS 10
 
 typedef struct soak soak_t;
 
@@ -758,6 +760,13 @@
 		    soak->random, 0, SOAK_STORE_MODE_COUNT);
 		print_event(soak, modes[soak->store.mode], "store");
 		break;
+	case 4:
+		/* Operators write again what the copy lacks. */
+		soak->store.mode = SOAK_STORE_SERVES;
+		print_event(soak, "restored from an old copy", "store");
+		soak_store_restore(&soak->store);
+		write_config(soak);
+		break;
 	default:
 		soak->store.mode = SOAK_STORE_SERVES;
 		print_event(soak, "serves", "store");
@@ -791,7 +800,8 @@
 
 	if (now_us >= soak->faults_end_us)
 		return;
-	soak->fault_count++;
+	if (soak->fault_count++ % COPY_EVERY_FAULTS == 0)
+		soak_store_copy(&soak->store);
 	switch (g_rand_int_range(random, 0, 7)) {
 	case 0:
 		inject_process_fault(
--- a/tests/soak/store.c
+++ b/tests/soak/store.c
@@ -1,4 +1,5 @@
 #include <arpa/inet.h>
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -54,14 +55,17 @@
 {
 	call_t *call = BF_CONTAINER(timer, call_t, timer);
 	bf_http_request_t *request = call->request;
-	char *text;
+	char *text, fields[sizeof(JSON_FIELD) + 32];
 
 	(void)now_us;
 	if (call->answer_lost)
 		return; /* freed when the caller disconnects */
 	text = json_dumps(call->body, JSON_COMPACT);
 	request->user = NULL;
-	bf_http_answer(request, call->status, JSON_FIELD, text, strlen(text));
+	(void)snprintf(fields, sizeof(fields), JSON_FIELD "Store-Era: %u\r\n",
+	    call->store->era);
+	bf_http_answer(request, call->status,
+	    call->store->era > 0 ? fields : JSON_FIELD, text, strlen(text));
 	free(text);
 	free_call(call);
 }
@@ -312,7 +316,8 @@
 		(bf_time_us_t)g_ascii_strtoull(wait, NULL, 10) * BF_US_PER_MS);
 	g_free(after);
 	g_free(wait);
-	if (call->after_revision >= call->store->compacted_revision)
+	if (call->after_revision >= call->store->compacted_revision &&
+	    call->after_revision <= call->store->revision)
 		return 200;
 	g_free(call->watch_prefix);
 	call->watch_prefix = NULL;
@@ -434,6 +439,7 @@
 		.loop = loop,
 		.random = random,
 		.items = g_ptr_array_new(),
+		.copied_items = g_ptr_array_new(),
 		.leases = g_ptr_array_new(),
 		.pending_calls = g_ptr_array_new(),
 		.revision = 100,
@@ -472,6 +478,73 @@
 	store->compacted_revision = ++store->revision;
 }
 
+static void
+copy_items(GPtrArray *to, GPtrArray *from)
+{
+	const item_t *item;
+	item_t *copy;
+	guint i;
+
+	for (i = 0; i < from->len; i++) {
+		item = g_ptr_array_index(from, i);
+		if (item->lease != 0)
+			continue;
+		copy = g_memdup2(item, sizeof(*item));
+		copy->key = g_strdup(item->key);
+		copy->value = g_strdup(item->value);
+		g_ptr_array_add(to, copy);
+	}
+}
+
+static void
+free_items(GPtrArray *items)
+{
+	item_t *item;
+
+	while (items->len > 0) {
+		item = g_ptr_array_remove_index_fast(items, items->len - 1);
+		g_free(item->key);
+		g_free(item->value);
+		g_free(item);
+	}
+}
+
+void
+soak_store_copy(soak_store_t *store)
+{
+	free_items(store->copied_items);
+	copy_items(store->copied_items, store->items);
+	store->copied_revision = store->revision;
+}
+
+void
+soak_store_restore(soak_store_t *store)
+{
+	bf_time_us_t now_us = bf_clock_monotonic_us();
+	call_t *call;
+	guint i;
+
+	if (store->copied_revision == 0)
+		return;
+	store->era++;
+	free_items(store->items);
+	copy_items(store->items, store->copied_items);
+	store->revision = store->copied_revision;
+	store->compacted_revision = store->copied_revision;
+	while (store->leases->len > 0)
+		g_free(g_ptr_array_remove_index_fast(store->leases, 0));
+	for (i = 0; i < store->pending_calls->len; i++) {
+		call = g_ptr_array_index(store->pending_calls, i);
+		if (call->watch_prefix == NULL || call->answer_lost)
+			continue;
+		g_free(call->watch_prefix);
+		call->watch_prefix = NULL;
+		call->status = 410;
+		bf_loop_timer_set(
+		    store->loop, &call->timer, now_us + ANSWER_DELAY_US);
+	}
+}
+
 void
 soak_store_revoke_lease(soak_store_t *store)
 {
--- a/tests/soak/store.h
+++ b/tests/soak/store.h
@@ -29,6 +29,10 @@
 	uint64_t revision;
 	uint64_t compacted_revision; /* watches of earlier revisions get 410 */
 	uint64_t last_lease_id;
+	/* Stated in answers from 1 on; rises when a copy is restored. */
+	uint32_t era;
+	GPtrArray *copied_items;
+	uint64_t copied_revision;
 	soak_store_mode_t mode;
 	bf_time_us_t delay_us; /* of all answers except those of watches */
 	bf_timer_t lease_timer;
@@ -43,6 +47,15 @@
 /* Discards the history of changes, so that watches must read again. */
 void soak_store_compact(soak_store_t *store);
 
+/* Makes a copy, in place of the one before. */
+void soak_store_copy(soak_store_t *store);
+
+/*
+ * Restores the last copy: all that was written since is lost, and all leases
+ * are.  Its revisions are given out again.
+ */
+void soak_store_restore(soak_store_t *store);
+
 /* Removes a random lease and its keys; watches are not notified. */
 void soak_store_revoke_lease(soak_store_t *store);
 
