--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -238,6 +238,7 @@
 		.cold_slack = s->cold_targets.slack,
 		.evacuate_ms = s->evacuation.within_ms,
 		.learn_capacity = s->load.learn_capacity,
+		.reported_speed_only = s->load.reported_speed_only,
 		.plan_zones = s->load.zone_cost_ppm != BF_ZONE_COST_ABSENT,
 		.zone_cost_ppm = s->load.zone_cost_ppm,
 	};
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -640,6 +640,13 @@
 	    call->mesh, &zone_call, candidates, peers, count, now_us);
 }
 
+static bool
+plans_zones(const bf_mesh_t *mesh)
+{
+	return mesh->options.plan_zones &&
+	    (mesh->target.reports_speed || !mesh->options.reported_speed_only);
+}
+
 /* Offers the call to the best node not tried yet, or ends it. */
 static void
 offer_next(bf_entry_call_t *call, bf_time_us_t now_us)
@@ -674,7 +681,7 @@
 		return;
 	}
 	preference = zone_preference(call, now_us);
-	chosen = call->mesh->options.plan_zones
+	chosen = plans_zones(call->mesh)
 	    ? choose_planned(call, candidates, peers, count, now_us)
 	    : bf_candidate_choose(
 		  candidates, count, &preference, &call->mesh->random);
@@ -795,7 +802,7 @@
 	    reply->status < 500 ? "answered" : "failed", 1);
 	if (retry_server_error(call, reply, now_us))
 		return;
-	if (call->mesh->options.plan_zones)
+	if (plans_zones(call->mesh))
 		bf_zones_count_answer(
 		    call->mesh, call->route->name, reply->body_bytes);
 	log_finished(call, reply->status,
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -284,6 +284,7 @@
 	bf_http_client_t client;
 	bf_call_queue_t queue;
 	bf_capacity_t capacity; /* used with learn_capacity */
+	bool reports_speed;     /* of its machine, with its load */
 	bf_body_pulls_t pulls;  /* bodies of calls that are not queued yet */
 	bf_route_latency_t latencies[BF_ROUTE_LATENCIES_MAX];
 	uint32_t latency_count;
@@ -780,6 +781,8 @@
 /* Cancels all calls that came by a connection, which has closed. */
 void bf_target_cancel_from(bf_inbound_t *from, bf_time_us_t now_us);
 void bf_target_tick(bf_mesh_t *mesh, bf_time_us_t now_us);
+/* Whether the learnt capacity of the own target is used. */
+bool bf_target_is_learnt(const bf_mesh_t *mesh);
 bf_load_t bf_target_load(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* The run at the own target that made the call of this id, or NULL. */
 /* Learns the size of the answers of a route; with plan_zones. */
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -55,6 +55,8 @@
 	bool learn_capacity;
 	bool plan_zones; /* zone_cost_ppm is set */
 	uint32_t zone_cost_ppm;
+	/* Both only where the target reports the speed of its machine. */
+	bool reported_speed_only;
 } bf_mesh_options_t;
 
 /* A heartbeat of the target beside this node. */
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -151,6 +151,13 @@
 	    : learnt_us;
 }
 
+bool
+bf_target_is_learnt(const bf_mesh_t *mesh)
+{
+	return mesh->options.learn_capacity &&
+	    (mesh->target.reports_speed || !mesh->options.reported_speed_only);
+}
+
 /* Sets the slots of the queue; with learn_capacity, to the learnt ones. */
 static void
 set_slots(bf_mesh_t *mesh, uint32_t slots, bf_time_us_t now_us)
@@ -162,6 +169,8 @@
 	if (!mesh->options.learn_capacity)
 		return;
 	bf_capacity_set_slots(&target->capacity, slots);
+	if (!bf_target_is_learnt(mesh))
+		return;
 	learnt = target->capacity.learnt;
 	target->queue.slots = bf_capacity_slots(
 	    &target->capacity, target->queue.count > 0, now_us);
@@ -177,7 +186,7 @@
 static void
 refresh_slots(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
-	if (mesh->options.learn_capacity)
+	if (bf_target_is_learnt(mesh))
 		set_slots(mesh, mesh->target.capacity.slots, now_us);
 }
 
@@ -186,7 +195,7 @@
 {
 	const bf_own_target_t *target = &mesh->target;
 	double share = current_failure_share(target, now_us);
-	bool learnt = mesh->options.learn_capacity;
+	bool learnt = bf_target_is_learnt(mesh);
 	uint32_t slots = learnt ? bf_capacity_learnt_slots(&target->capacity)
 				: target->queue.slots;
 	uint32_t gate_slots = bf_evacuation_slots(mesh, now_us);
@@ -472,8 +481,10 @@
 		    ? running + waiting - own
 		    : slots - 1;
 	if (mesh->options.learn_capacity &&
-	    sscanf(text, "%*u,%*u,%*u,%u", &percent) == 1)
+	    sscanf(text, "%*u,%*u,%*u,%u", &percent) == 1) {
+		target->reports_speed = true;
 		bf_capacity_set_percent(&target->capacity, percent, now_us);
+	}
 	set_slots(mesh, slots, now_us);
 }
 
@@ -817,7 +828,7 @@
 			confirm(call, now_us);
 		else
 			send_call(call, now_us);
-	} while (mesh->options.learn_capacity);
+	} while (bf_target_is_learnt(mesh));
 }
 
 /*
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -130,6 +130,9 @@
 	    .kind = BF_FIELD_BOOL,
 	    .offset = FIELD(load.learn_capacity) },
 	{ .key = "zone_cost", .kind = BF_FIELD_CUSTOM }, /* read_scaled() */
+	{ .key = "reported_speed_only",
+	    .kind = BF_FIELD_BOOL,
+	    .offset = FIELD(load.reported_speed_only) },
 };
 
 static const bf_field_t metric_fields[] = {
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -75,6 +75,8 @@
 		 * millionths of its objective; BF_ZONE_COST_ABSENT: not stated.
 		 */
 		uint32_t zone_cost_ppm;
+		/* Both only where the target reports its machine's speed. */
+		bool reported_speed_only;
 	} load;
 	struct {
 		const char *listen; /* NULL: not served */
