Tell the record of a former process by its incarnation

Cause: a node whose own first write of its record was not answered took the record that it met at the second try for that of a former process, and used its share of usage caps without waiting for the list to settle.

Change: the record counts only if its incarnation is an earlier one.

Measured: test_mesh_caps passes.

--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -441,6 +441,23 @@
 	start_call(mesh, now_us);
 }
 
+/* Whether the own record was written by another process than this one. */
+static bool
+is_of_former_process(const bf_mesh_t *mesh, const bf_kv_item_t *item)
+{
+	json_int_t incarnation = 0;
+	json_t *record;
+	bool is_read;
+
+	if (item->data == NULL)
+		return false;
+	record = json_loadb(item->data, item->data_bytes, 0, NULL);
+	is_read =
+	    json_unpack(record, "{s:I}", "incarnation", &incarnation) == 0;
+	json_decref(record);
+	return is_read && (uint64_t)incarnation < mesh->incarnation;
+}
+
 static void
 schedule_registration(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
@@ -492,9 +509,9 @@
 		 */
 		mesh->member_revision =
 		    reply->item_count > 0 ? reply->items[0].revision : 0;
-		mesh->had_record = mesh->had_record ||
-		    (mesh->listed_at_us == 0 && reply->item_count > 0 &&
-			reply->items[0].data != NULL);
+		if (reply->item_count > 0 &&
+		    is_of_former_process(mesh, &reply->items[0]))
+			mesh->had_record = true;
 		if (reply->item_count > 0 && reply->items[0].data != NULL)
 			restore_record(mesh, &reply->items[0], now_us);
 		start_call(mesh, now_us);
