--- a/review/lib-2/rig.c
+++ b/review/lib-2/rig.c
@@ -18,6 +18,7 @@
 #define READY_INTERVAL_FIRST_US (100 * BF_US_PER_MS)
 #define HEARTBEAT_US (1500 * BF_US_PER_MS)
 #define HEARTBEAT_TIMEOUT_US BF_US_PER_S
+#define FIRST_BEAT_US (300 * BF_US_PER_MS)
 /* After all nodes are ready, they learn of each other's targets. */
 #define SETTLE_US (3 * BF_US_PER_S)
 #define IDLE_US (10 * BF_US_PER_S)
@@ -92,6 +93,8 @@
 	bf_http_request_t *request = run->request;
 	rig_target_t *target = run->target;
 	char fields[512], body[256];
+	uint32_t status =
+	    target->status_of != NULL ? target->status_of(run) : 200;
 
 	(void)g_snprintf(body, sizeof(body), "body of %s", run->id);
 	(void)g_snprintf(fields, sizeof(fields),
@@ -100,7 +103,7 @@
 	    run->id, target->id, run->id, target->running - 1, target->slots);
 	request->user = NULL;
 	end_run(run, false, now_us);
-	bf_http_answer(request, 200, fields, body, strlen(body));
+	bf_http_answer(request, status, fields, body, strlen(body));
 }
 
 static uint32_t
@@ -447,8 +450,10 @@
 
 	for (i = 0; i < rig->node_count; i++) {
 		supervise(&rig->nodes[i], now_us);
-		all_ready = all_ready && rig->nodes[i].is_ready &&
-		    rig->nodes[i].target.sequence > 0;
+		all_ready = all_ready &&
+		    (rig->nodes[i].is_late ||
+			(rig->nodes[i].is_ready &&
+			    rig->nodes[i].target.sequence > 0));
 	}
 	if (!rig->is_started && all_ready) {
 		rig->is_started = true;
@@ -500,6 +505,24 @@
 	return rig;
 }
 
+static void
+start_with_target(rig_node_t *node, bf_time_us_t now_us)
+{
+	start_node(node);
+	bf_loop_timer_set(node->rig->loop, &node->target.beat_timer,
+	    now_us + FIRST_BEAT_US);
+	bf_loop_timer_set(node->rig->loop, &node->ready_timer,
+	    now_us + READY_INTERVAL_FIRST_US);
+}
+
+void
+rig_start_late(rig_node_t *node)
+{
+	node->starts++; /* the whole system has started before */
+	node->target.born_ms = (uint64_t)(bf_clock_wall_us() / BF_US_PER_MS);
+	start_with_target(node, bf_clock_monotonic_us());
+}
+
 int
 rig_run(rig_t *rig, void (*started)(rig_t *rig, bf_time_us_t now_us))
 {
@@ -512,11 +535,8 @@
 	bf_loop_timer_set(rig->loop, &rig->tick, now_us + TICK_US);
 	bf_loop_timer_set(rig->loop, &rig->limit, now_us + rig->limit_us);
 	for (i = 0; i < rig->node_count; i++) {
-		start_node(&rig->nodes[i]);
-		bf_loop_timer_set(rig->loop, &rig->nodes[i].target.beat_timer,
-		    now_us + 300 * BF_US_PER_MS);
-		bf_loop_timer_set(rig->loop, &rig->nodes[i].ready_timer,
-		    now_us + READY_INTERVAL_FIRST_US);
+		if (!rig->nodes[i].is_late)
+			start_with_target(&rig->nodes[i], now_us);
 	}
 	bf_loop_run(rig->loop);
 	for (i = 0; i < rig->node_count; i++) {
--- a/review/lib-2/rig.h
+++ b/review/lib-2/rig.h
@@ -69,6 +69,8 @@
 	bool beat_drains;
 	/* Work of a request, in ms; by default, the number in its path. */
 	uint32_t (*work_ms)(rig_run_t *run);
+	/* Status of the answer; NULL: 200. */
+	uint32_t (*status_of)(rig_run_t *run);
 	/* Called when a request begins and when it ends; may be NULL. */
 	void (*began)(rig_run_t *run, bf_time_us_t now_us);
 	void (*ended)(rig_run_t *run, bool abandoned, bf_time_us_t now_us);
@@ -91,6 +93,7 @@
 	bool is_ready; /* by the last answer of its ready address */
 	bf_time_us_t ready_sent_us;
 	bf_time_us_t restart_at_us; /* 0: none due */
+	bool is_late;		    /* not started with the others */
 };
 
 struct rig {
@@ -133,6 +136,9 @@
 /* Ends the run; the processes that were started are ended too. */
 void rig_end(rig_t *rig, int result);
 
+/* Starts a node that is_late, and its target. */
+void rig_start_late(rig_node_t *node);
+
 void rig_signal(rig_node_t *node, int number);
 /* Starts a new process when this one has ended; 0: none. */
 void rig_restart_after(rig_node_t *node, uint32_t ms);
