--- a/review/lib-2/rig.h
+++ b/review/lib-2/soak/rig.h
@@ -93,7 +93,7 @@
 	bool is_ready; /* by the last answer of its ready address */
 	bf_time_us_t ready_sent_us;
 	bf_time_us_t restart_at_us; /* 0: none due */
-	bool is_late;		    /* not started with the others */
+	bool is_late;               /* not started with the others */
 };
 
 struct rig {
