--- a/review/8/case.c
+++ b/review/8/soak/case.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "review/lib-2/rig.h"
+#include "review/lib-2/soak/rig.h"
 
 /*
  * A configuration takes a key away and adds a tenant whose name has a space.
@@ -24,7 +24,8 @@
 	bf_timer_t send, change, end;
 	uint32_t sent, ran_before, ran_late, late_sent, new_served, new_refused;
 	bf_time_us_t acked_us;
-	GHashTable *late_ids; /* sent with the old key, RevokeMs after the ack */
+	GHashTable
+	    *late_ids; /* sent with the old key, RevokeMs after the ack */
 } state_t;
 
 static state_t state;
@@ -33,8 +34,8 @@
 on_answered(rig_conn_t *conn, const rig_answer_t *answer, bf_time_us_t now_us)
 {
 	(void)now_us;
-	rig_log(conn->rig, "caller: %s is answered %u", answer->id,
-	    answer->status);
+	rig_log(
+	    conn->rig, "caller: %s is answered %u", answer->id, answer->status);
 }
 
 static void
@@ -60,8 +61,8 @@
 		state.conns[i]->answered = on_answered;
 		state.conns[i]->ended = on_ended;
 	}
-	(void)g_snprintf(id, sizeof(id), "%s%u", is_new ? "new" : "old",
-	    ++state.sent);
+	(void)g_snprintf(
+	    id, sizeof(id), "%s%u", is_new ? "new" : "old", ++state.sent);
 	if (!is_new && state.acked_us != 0 &&
 	    now_us - state.acked_us > REVOKE_MS * BF_US_PER_MS) {
 		g_hash_table_add(state.late_ids, g_strdup(id));
@@ -135,7 +136,7 @@
 	    state.ran_late, state.late_sent);
 	rig_end(state.rig,
 	    state.ran_before == 0 || state.late_sent == 0 ? RIG_NOT_RUN
-		: state.ran_late > 0			  ? RIG_BROKEN
+		: state.ran_late > 0                      ? RIG_BROKEN
 							  : RIG_HELD);
 }
 
@@ -159,14 +160,18 @@
 
 	state.rig = rig;
 	state.late_ids = g_hash_table_new(g_str_hash, g_str_equal);
-	rig->settings_more = g_strdup(
-	    "[accounts]\nfail_closed = true\nrevoke_ms = 5000\n"
-	    "[usage_caps]\nwindow_s = 5\nover = 0.1\nslack = 20\n");
+	rig->settings_more =
+	    g_strdup("[accounts]\nfail_closed = true\nrevoke_ms = 5000\n"
+		     "[usage_caps]\nwindow_s = 5\nover = 0.1\nslack = 20\n");
 	put_config(rig, "r7",
 	    "{\"Name\":\"pulo780\",\"ApiKeys\":[\"" OLD_KEY "\",\"" KEPT_KEY
 	    "\"],\"Priority\":1}");
 	for (i = 0; i < 3; i++)
-		rig_add_node(rig, i == 0 ? "a" : i == 1 ? "b" : "c", "shop")
+		rig_add_node(rig,
+		    i == 0       ? "a"
+			: i == 1 ? "b"
+				 : "c",
+		    "shop")
 		    ->target.began = began;
 	return rig_run(rig, started);
 }
