--- a/review/9/case.c
+++ b/review/9/soak/case.c
@@ -1,9 +1,10 @@
 #include <signal.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include <glib.h>
 
-#include "review/lib-2/rig.h"
+#include "review/lib-2/soak/rig.h"
 
 /*
  * A target deregisters while the platform's store is down, and the process of
@@ -14,6 +15,7 @@
  */
 
 #define SEND_EVERY_MS 50
+#define SENT_MAX 1024
 #define CONNS 32 /* each carries one request at a time, in zone a */
 #define WORK_MS 300
 #define STORE_DOWN_AT_MS 1000
@@ -25,7 +27,7 @@
 #define RESTART_MS 400
 #define EXIT_AT_MS 9000 /* "at times many seconds" later */
 #define END_AT_MS 11000
-#define DRAIN_MS 2000  /* Bounds.DrainMs */
+#define DRAIN_MS 2000   /* Bounds.DrainMs */
 #define CONTACT_MS 3000 /* Bounds.ContactMs */
 
 typedef struct state {
@@ -38,7 +40,7 @@
 	bf_bytes_t ping_body;
 	bf_time_us_t acked_us;    /* the deregistration; 0: not yet */
 	bf_time_us_t in_touch_us; /* from then on all machines are in touch */
-	GHashTable *sent_us;
+	bf_time_us_t sent_us[SENT_MAX]; /* by the number of the request */
 	uint32_t sent, late, answered, others, cut;
 } state_t;
 
@@ -52,8 +54,8 @@
 		state.answered++;
 	else
 		state.others++;
-	rig_log(conn->rig, "caller: an answer, %s %u", answer->id,
-	    answer->status);
+	rig_log(
+	    conn->rig, "caller: an answer, %s %u", answer->id, answer->status);
 }
 
 static void
@@ -69,7 +71,6 @@
 {
 	uint32_t i = state.sent++ % CONNS;
 	const rig_node_t *node = &state.rig->nodes[i % 2];
-	bf_time_us_t *sent_us = g_new(bf_time_us_t, 1);
 
 	rig_after(state.rig, timer, SEND_EVERY_MS);
 	if (node->pid == 0 || !node->is_ready)
@@ -80,9 +81,7 @@
 		state.conns[i]->answered = on_answered;
 		state.conns[i]->ended = on_ended;
 	}
-	*sent_us = now_us;
-	g_hash_table_insert(
-	    state.sent_us, g_strdup_printf("c%u", state.sent), sent_us);
+	state.sent_us[state.sent % SENT_MAX] = now_us;
 	rig_log(state.rig, "caller: sends c%u to %s", state.sent, node->name);
 	rig_conn_send(state.conns[i],
 	    "POST /u/%d HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: c%u\r\n"
@@ -191,8 +190,7 @@
 	rig_signal(&state.rig->nodes[0], SIGKILL);
 	rig_restart_after(&state.rig->nodes[0], RESTART_MS);
 	if (state.in_touch_us < now_us + (RESTART_MS + CONTACT_MS) * RIG_MS)
-		state.in_touch_us =
-		    now_us + (RESTART_MS + CONTACT_MS) * RIG_MS;
+		state.in_touch_us = now_us + (RESTART_MS + CONTACT_MS) * RIG_MS;
 }
 
 static void
@@ -212,19 +210,18 @@
 static void
 began(rig_run_t *run, bf_time_us_t now_us)
 {
-	const bf_time_us_t *sent_us =
-	    g_hash_table_lookup(state.sent_us, run->id);
+	bf_time_us_t sent_us =
+	    state.sent_us[strtoul(run->id + 1, NULL, 10) % SENT_MAX];
 
-	if (run->target != &state.rig->nodes[0].target || sent_us == NULL ||
-	    state.acked_us == 0 ||
+	if (run->target != &state.rig->nodes[0].target || state.acked_us == 0 ||
 	    now_us - state.acked_us <= DRAIN_MS * RIG_MS)
 		return;
 	rig_log(state.rig,
 	    "%s: %s reaches %s %.0f ms after its leaving was acknowledged",
-	    *sent_us > state.in_touch_us ? "LATE" : "late, not in touch",
+	    sent_us > state.in_touch_us ? "LATE" : "late, not in touch",
 	    run->id, run->target->id,
 	    (double)(now_us - state.acked_us) / BF_US_PER_MS);
-	if (*sent_us > state.in_touch_us)
+	if (sent_us > state.in_touch_us)
 		state.late++;
 }
 
@@ -240,7 +237,7 @@
 	    state.sent, state.answered, state.others, state.late, state.cut);
 	rig_end(state.rig,
 	    state.acked_us == 0 || state.answered == 0 ? RIG_NOT_RUN
-		: state.late > 0		       ? RIG_BROKEN
+		: state.late > 0                       ? RIG_BROKEN
 						       : RIG_HELD);
 }
 
@@ -267,8 +264,7 @@
 	rig_after(rig, &state.send, 1);
 	if (rig->trouble && !only_kill) {
 		rig_after(rig, &state.down, STORE_DOWN_AT_MS);
-		rig_after(
-		    rig, &state.up, STORE_DOWN_AT_MS + STORE_DOWN_MS);
+		rig_after(rig, &state.up, STORE_DOWN_AT_MS + STORE_DOWN_MS);
 	}
 	if (rig->trouble && !only_store)
 		rig_after(rig, &state.kill, KILL_AT_MS);
@@ -285,7 +281,6 @@
 	uint32_t i;
 
 	state.rig = rig;
-	state.sent_us = g_hash_table_new(g_str_hash, g_str_equal);
 	rig_put(rig, "op/config",
 	    "{\"Version\":\"r7\",\"Limits\":{\"MaxHeaderBytes\":16384,"
 	    "\"MaxBodyBytes\":67108864,\"HeaderTimeoutMs\":3000,"
@@ -296,7 +291,11 @@
 	    "\"/u/\"},\"Priority\":1,\"TargetLatencyMs\":500,\"Action\":{"
 	    "\"Service\":\"shop\",\"TimeoutMs\":1000,\"MaxAttempts\":2}}]}]}");
 	for (i = 0; i < 4; i++)
-		rig_add_node(rig, i < 2 ? "a" : i == 2 ? "b" : "c", "shop")
+		rig_add_node(rig,
+		    i < 2        ? "a"
+			: i == 2 ? "b"
+				 : "c",
+		    "shop")
 		    ->target.began = began;
 	return rig_run(rig, started);
 }
