Pause a listener that cannot accept connections

Callers saw: nothing on a fast machine; on a small one the node had no time left for their calls, nor for its own work.

Cause: when accept4 fails with EMFILE, ENFILE, ENOBUFS or ENOMEM, the waiting connection keeps the listening socket readable, and the event loop spins.

Change: the listener is left alone for 50 ms after such a failure. This is in bf_listener_t, so it holds for every listener of basilmeshd: callers, peers, ready, heartbeats, metrics.

--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -202,6 +202,9 @@
 		.head_timeout_us = METRICS_TIMEOUT_US,
 		.idle_timeout_us = METRICS_TIMEOUT_US,
 	};
+	meshd->metrics_server.listener.name = "metrics";
+	meshd->metrics_server.listener.observer =
+	    bf_mesh_listener_observer(meshd->mesh);
 	return bf_http_server_open(
 	    &meshd->metrics_server, meshd->loop, &address, now_us, err);
 }
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1304,6 +1304,8 @@
 		.head_timeout_us = HEAD_TIMEOUT_DEFAULT_US,
 		.idle_timeout_us = IDLE_TIMEOUT_DEFAULT_US,
 	};
+	mesh->caller_server.listener.name = "callers";
+	mesh->caller_server.listener.observer = &mesh->listener_observer;
 	return bf_http_server_open(&mesh->caller_server, mesh->loop,
 	    &mesh->options.caller_listen, now_us, err);
 }
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -418,12 +418,13 @@
 	bf_metric_family_t *left;        /* time since a caller left */
 	bf_metric_family_t *frame_delay; /* by kind of frame */
 	bf_metric_family_t *freshness;   /* age and refusal */
-	bf_metric_family_t *freshness_asks; /* by result */
-	bf_metric_family_t *iteration;      /* of the event loop */
-	bf_metric_family_t *memory;         /* bytes held, by side */
-	bf_metric_family_t *refused_bodies; /* by reason */
-	bf_metric_family_t *unsent;         /* bytes queued for other nodes */
-	bf_metric_family_t *zone_share;     /* by service, with plan_zones */
+	bf_metric_family_t *freshness_asks;  /* by result */
+	bf_metric_family_t *iteration;       /* of the event loop */
+	bf_metric_family_t *memory;          /* bytes held, by side */
+	bf_metric_family_t *refused_bodies;  /* by reason */
+	bf_metric_family_t *accept_failures; /* by listener */
+	bf_metric_family_t *unsent;          /* bytes queued for other nodes */
+	bf_metric_family_t *zone_share;      /* by service, with plan_zones */
 } bf_mesh_metrics_t;
 
 /* How often nodes report to each other, and when silence is a failure. */
@@ -453,6 +454,7 @@
 	bf_memory_budget_t memory; /* what others make the process hold */
 	bf_http_server_t caller_server;
 	bf_listener_t peer_listener;
+	bf_listener_observer_t listener_observer; /* of all listeners */
 
 	/* Configuration. */
 	bf_time_us_t start_us;
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -92,6 +92,11 @@
 	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_refused_bodies_total",
 		"Bodies and answers that were given up to bound the memory",
 		"reason");
+	m->accept_failures =
+	    bf_metrics_add(set, BF_METRIC_COUNTER, "bf_accept_failures_total",
+		"Times that a listener had no descriptor or memory left to "
+		"accept a connection",
+		"listener");
 	m->unsent = bf_metrics_add(set, BF_METRIC_GAUGE, "bf_unsent_bytes",
 	    "Bytes that wait to be sent to other nodes", "figure");
 }
@@ -110,6 +115,27 @@
 		    (json_int_t)took_us);
 }
 
+static void
+on_listener_changed(bf_listener_observer_t *observer,
+    const bf_listener_t *listener, int error, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(observer, bf_mesh_t, listener_observer);
+
+	if (error != 0)
+		bf_metric_count(
+		    mesh->metrics.accept_failures, listener->name, 1);
+	bf_event(mesh->events, BF_EVENT_LISTENER, now_us, "s:s,s:s,s:s",
+	    "listener", listener->name, "change",
+	    error != 0 ? "paused" : "resumed", "error",
+	    error != 0 ? strerror(error) : "");
+}
+
+bf_listener_observer_t *
+bf_mesh_listener_observer(bf_mesh_t *mesh)
+{
+	return &mesh->listener_observer;
+}
+
 /* Memory of the instance: as set, else that of the machine. */
 static uint64_t
 memory_bytes(const bf_mesh_options_t *options)
@@ -150,6 +176,7 @@
 		return NULL;
 	}
 	mesh->offered_calls = apr_hash_make(mesh->pool);
+	mesh->listener_observer.changed = on_listener_changed;
 	mesh->caller_server.listener.source.fd = -1;
 	mesh->peer_listener.source.fd = -1;
 	bf_memory_budget_init(
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -78,6 +78,9 @@
     const bf_dialect_t *dialect, bf_loop_t *loop, bf_kv_t *kv,
     bf_events_t *events, bf_metrics_set_t *metrics, bf_error_t *err);
 
+/* Logs and counts when a listener of the process cannot accept connections. */
+bf_listener_observer_t *bf_mesh_listener_observer(bf_mesh_t *mesh);
+
 /* Opens the listeners and starts to look for configuration and peers. */
 bf_code_t bf_mesh_start(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err);
 void bf_mesh_free(bf_mesh_t *mesh);
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -1037,6 +1037,8 @@
 	bf_code_t code;
 
 	mesh->peer_listener.accepted = on_accepted;
+	mesh->peer_listener.name = "peers";
+	mesh->peer_listener.observer = &mesh->listener_observer;
 	code = bf_listener_open(
 	    &mesh->peer_listener, mesh->loop, &mesh->options.peer_listen, err);
 	if (code != BF_OK)
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -14,6 +14,8 @@
  */
 #define PAUSED_RECEIVE_BYTES 65536
 #define ACCEPTS_PER_EVENT_MAX 64
+/* Pause after a failure of accept(2); waiting clients do not notice it. */
+#define ACCEPT_RETRY_US (50 * BF_US_PER_MS)
 /* A connection fails when sent bytes stay unacknowledged this long. */
 #define UNACKED_TIMEOUT_MS 3000U
 
@@ -298,6 +300,42 @@
 	bf_tcp_schedule_flush(tcp);
 }
 
+/* Whether accept(2) fails again at once if it is called again. */
+static bool
+is_lasting(int error)
+{
+	return error == EMFILE || error == ENFILE || error == ENOBUFS ||
+	    error == ENOMEM;
+}
+
+static void
+set_listener_error(bf_listener_t *listener, int error, bf_time_us_t now_us)
+{
+	bool changed = (listener->error == 0) != (error == 0);
+
+	listener->error = error;
+	if (changed && listener->observer != NULL)
+		listener->observer->changed(
+		    listener->observer, listener, error, now_us);
+}
+
+static void
+pause_listener(bf_listener_t *listener, bf_time_us_t now_us)
+{
+	bf_loop_change(listener->loop, &listener->source, 0);
+	bf_loop_timer_set(
+	    listener->loop, &listener->retry, now_us + ACCEPT_RETRY_US);
+}
+
+static void
+on_listener_retry(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_listener_t *listener = BF_CONTAINER(timer, bf_listener_t, retry);
+
+	(void)now_us;
+	bf_loop_change(listener->loop, &listener->source, EPOLLIN);
+}
+
 static void
 listener_ready(bf_source_t *source, uint32_t events, bf_time_us_t now_us)
 {
@@ -311,8 +349,14 @@
 		bytes = sizeof(from);
 		fd = accept4(source->fd, (struct sockaddr *)&from, &bytes,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
+		if (fd < 0 && is_lasting(errno)) {
+			set_listener_error(listener, errno, now_us);
+			pause_listener(listener, now_us);
+			return;
+		}
 		if (fd < 0)
 			return;
+		set_listener_error(listener, 0, now_us);
 		listener->accepted(listener, fd, &from, now_us);
 	}
 }
@@ -326,6 +370,7 @@
 
 	listener->loop = loop;
 	listener->source = (bf_source_t){ .ready = listener_ready, .fd = -1 };
+	listener->retry.fire = on_listener_retry;
 	fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 	if (fd < 0)
 		return bf_error_set(err, BF_ERR_IO,
@@ -362,6 +407,7 @@
 {
 	if (listener->source.fd < 0)
 		return;
+	bf_loop_timer_cancel(listener->loop, &listener->retry);
 	close(listener->source.fd);
 	listener->source.fd = -1;
 }
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -99,14 +99,31 @@
 /* Closes once all bytes are written. */
 void bf_tcp_finish(bf_tcp_t *tcp);
 
-/* A listening socket. */
 typedef struct bf_listener bf_listener_t;
+typedef struct bf_listener_observer bf_listener_observer_t;
+
+/* Told when a listener ceases or begins again to accept connections. */
+struct bf_listener_observer {
+	/* error: of accept(2); 0: connections are accepted again. */
+	void (*changed)(bf_listener_observer_t *observer,
+	    const bf_listener_t *listener, int error, bf_time_us_t now_us);
+};
+
+/*
+ * A listening socket.  When accept(2) fails for want of descriptors or memory,
+ * the socket stays readable; it is then left alone for a while, so that the
+ * loop does not spin.
+ */
 struct bf_listener {
 	bf_source_t source;
 	bf_loop_t *loop;
 	/* Takes over fd. */
 	void (*accepted)(bf_listener_t *listener, int fd,
 	    const struct sockaddr_in *from, bf_time_us_t now_us);
+	const char *name;                 /* for the observer */
+	bf_listener_observer_t *observer; /* may be NULL */
+	bf_timer_t retry;                 /* set while nothing is accepted */
+	int error; /* of the last accept(2); 0: it succeeded */
 };
 
 /* BF_ERR_IO when the address cannot be bound. */
