Bound the connections of callers by descriptors and memory

Callers saw: while a crowd with more connections than the node has descriptors stayed, no call at that node was answered, and the node could not reach the store, other nodes or its target either.

Cause: callers.connections_max had no bound by default. The memory budget sees what was read, not what waits unread in sockets, which the kernel lets grow to several MB each.

--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -232,6 +232,7 @@
 		.zones = s->node.zones,
 		.zone_count = s->node.zone_count,
 		.memory_mb = s->node.memory_mb,
+		.descriptors_max = s->node.descriptors_max,
 		.fail_closed = s->accounts.fail_closed,
 		.revoke_ms = s->accounts.revoke_ms,
 		.cap_window_ms = s->usage_caps.window_ms,
--- a/http/server.c
+++ b/http/server.c
@@ -11,13 +11,17 @@
 #define SWEEP_PAUSED_US (20 * BF_US_PER_MS)
 /* Sent with a refusal for want of memory: about the time of a large body. */
 #define RETRY_AFTER_FIELD "Retry-After: 1\r\n"
+/*
+ * Of the connections that received nothing for longest, so many are compared to
+ * find the one that gives way.
+ */
+#define CANDIDATES_MAX 16
 
 struct bf_http_conn {
 	bf_tcp_t tcp; /* first member */
 	bf_http_reader_t reader;
 	bf_http_server_t *server;
-	bf_http_conn_t *next;
-	bf_http_conn_t **previous;
+	TAILQ_ENTRY(bf_http_conn) link;
 	struct sockaddr_in from;
 	bf_http_request_t *first;
 	bf_http_request_t **last;
@@ -27,6 +31,7 @@
 	bf_time_us_t active_us; /* last byte read or answer written */
 	bf_time_us_t idle_timeout_us; /* the longest that has applied */
 	bool reading_ended;           /* further bytes are ignored */
+	bool has_served;              /* at least one request was complete */
 	bf_memory_body_t body;        /* the request being read */
 	/* Answers that were not written at the last sweep. */
 	bf_memory_body_t answers;
@@ -60,9 +65,7 @@
 	bf_memory_body_end(&conn->answers);
 	bf_memory_charge_set(&conn->charge, 0);
 	bf_tcp_close(&conn->tcp);
-	*conn->previous = conn->next;
-	if (conn->next != NULL)
-		conn->next->previous = conn->previous;
+	TAILQ_REMOVE(&server->conns, conn, link);
 	server->conn_count--;
 	while ((request = conn->first) != NULL) {
 		conn->first = request->next;
@@ -224,6 +227,7 @@
 	}
 	request = add_request(conn, message);
 	conn->began_us = 0;
+	conn->has_served = true;
 	if (request == NULL) {
 		bf_http_message_free(message);
 		return;
@@ -317,6 +321,8 @@
 	}
 	conn->now_us = now_us;
 	conn->active_us = now_us;
+	TAILQ_REMOVE(&conn->server->conns, conn, link);
+	TAILQ_INSERT_TAIL(&conn->server->conns, conn, link);
 	if (conn->reading_ended)
 		return;
 	if (conn->began_us == 0) {
@@ -366,6 +372,82 @@
 	.ended = conn_ended,
 };
 
+static bool
+is_idle(const bf_http_conn_t *conn)
+{
+	return conn->first == NULL && conn->began_us == 0 &&
+	    bf_tcp_unsent(&conn->tcp) == 0;
+}
+
+/*
+ * Whether the connection may be closed for a new one.  An idle connection of a
+ * caller that was served ends by its idle timeout, which that caller may rely
+ * on.
+ */
+static bool
+may_give_way(const bf_http_conn_t *conn)
+{
+	return conn->first == NULL && !(conn->has_served && is_idle(conn));
+}
+
+/* Bytes that it receives, or that its caller reads, in the recent time. */
+static double
+progress(const bf_http_conn_t *conn, bf_time_us_t now_us)
+{
+	double rate = 0;
+
+	if (conn->body.budget != NULL)
+		rate += bf_memory_body_rate(&conn->body, now_us);
+	if (conn->answers.budget != NULL)
+		rate += bf_memory_body_rate(&conn->answers, now_us);
+	return rate;
+}
+
+/* The connection that gives way to a new one; NULL: none can. */
+static bf_http_conn_t *
+find_slowest(const bf_http_server_t *server, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn, *slowest = NULL;
+	double rate, slowest_rate = 0;
+	uint32_t candidates = 0;
+
+	TAILQ_FOREACH(conn, &server->conns, link)
+	{
+		if (!may_give_way(conn))
+			continue;
+		rate = progress(conn, now_us);
+		if (slowest == NULL || rate < slowest_rate) {
+			slowest = conn;
+			slowest_rate = rate;
+		}
+		if (++candidates == CANDIDATES_MAX)
+			break;
+	}
+	return slowest;
+}
+
+/* Closes a connection at once; what was read of a request was not passed on. */
+static void
+give_way(bf_http_conn_t *conn, bf_time_us_t now_us)
+{
+	report_refusal(conn, BF_HTTP_REFUSAL_CROWDED, now_us);
+	if (conn->began_us != 0 && !conn->reading_ended) {
+		refuse(conn, 503);
+		bf_tcp_flush(&conn->tcp);
+	}
+	drop_conn(conn, now_us);
+}
+
+static bool
+may_accept(bf_listener_t *listener, bf_time_us_t now_us)
+{
+	const bf_http_server_t *server =
+	    BF_CONTAINER(listener, bf_http_server_t, listener);
+
+	return server->conn_max == 0 || server->conn_count < server->conn_max ||
+	    find_slowest(server, now_us) != NULL;
+}
+
 static void
 on_accepted(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
     bf_time_us_t now_us)
@@ -374,10 +456,8 @@
 	    BF_CONTAINER(listener, bf_http_server_t, listener);
 	bf_http_conn_t *conn;
 
-	if (server->conn_max != 0 && server->conn_count >= server->conn_max) {
-		close(fd);
-		return;
-	}
+	if (server->conn_max != 0 && server->conn_count >= server->conn_max)
+		give_way(find_slowest(server, now_us), now_us);
 	conn = calloc(1, sizeof(*conn));
 	if (conn == NULL) {
 		close(fd);
@@ -400,27 +480,17 @@
 	conn->last = &conn->first;
 	conn->active_us = now_us;
 	conn->idle_timeout_us = server->limits.idle_timeout_us;
-	conn->next = server->conns;
-	if (conn->next != NULL)
-		conn->next->previous = &conn->next;
-	conn->previous = &server->conns;
-	server->conns = conn;
+	TAILQ_INSERT_TAIL(&server->conns, conn, link);
 	server->conn_count++;
 }
 
-static bool
-is_idle(const bf_http_conn_t *conn)
-{
-	return conn->first == NULL && conn->began_us == 0 &&
-	    bf_tcp_unsent(&conn->tcp) == 0;
-}
-
 bool
 bf_http_server_is_idle(const bf_http_server_t *server)
 {
 	const bf_http_conn_t *conn;
 
-	for (conn = server->conns; conn != NULL; conn = conn->next) {
+	TAILQ_FOREACH(conn, &server->conns, link)
+	{
 		if (!is_idle(conn))
 			return false;
 	}
@@ -486,8 +556,8 @@
 	bf_time_us_t elapsed_us = now_us - server->swept_us;
 
 	server->swept_us = now_us;
-	for (conn = server->conns; conn != NULL; conn = next) {
-		next = conn->next;
+	for (conn = TAILQ_FIRST(&server->conns); conn != NULL; conn = next) {
+		next = TAILQ_NEXT(conn, link);
 		sweep_conn(conn, elapsed_us, now_us);
 	}
 	bf_loop_timer_set(server->loop, timer, now_us + SWEEP_US);
@@ -500,6 +570,8 @@
 	server->loop = loop;
 	server->swept_us = now_us;
 	server->listener.accepted = on_accepted;
+	server->listener.may_accept = may_accept;
+	TAILQ_INIT(&server->conns);
 	server->sweep.fire = sweep;
 	bf_loop_timer_set(loop, &server->sweep, now_us + SWEEP_US);
 	return bf_listener_open(&server->listener, loop, address, err);
@@ -512,7 +584,8 @@
 	bf_http_conn_t *conn;
 
 	server->limits = *limits;
-	for (conn = server->conns; conn != NULL; conn = conn->next) {
+	TAILQ_FOREACH(conn, &server->conns, link)
+	{
 		if (conn->idle_timeout_us < limits->idle_timeout_us)
 			conn->idle_timeout_us = limits->idle_timeout_us;
 	}
@@ -527,8 +600,10 @@
 void
 bf_http_server_close(bf_http_server_t *server)
 {
+	bf_http_conn_t *conn;
+
 	bf_listener_close(&server->listener);
 	bf_loop_timer_cancel(server->loop, &server->sweep);
-	while (server->conns != NULL)
-		drop_conn(server->conns, bf_clock_monotonic_us());
+	while ((conn = TAILQ_FIRST(&server->conns)) != NULL)
+		drop_conn(conn, bf_clock_monotonic_us());
 }
--- a/http/server.h
+++ b/http/server.h
@@ -1,6 +1,8 @@
 #ifndef BF_HTTP_SERVER_H
 #define BF_HTTP_SERVER_H
 
+#include <sys/queue.h>
+
 #include "http/message.h"
 #include "net/tcp.h"
 
@@ -18,7 +20,8 @@
 	BF_HTTP_REFUSAL_MEMORY,
 	BF_HTTP_REFUSAL_SLOW,
 	BF_HTTP_REFUSAL_TOO_LONG,
-	BF_HTTP_REFUSAL_UNREAD
+	BF_HTTP_REFUSAL_UNREAD,
+	BF_HTTP_REFUSAL_CROWDED
 } bf_http_refusal_t;
 
 typedef struct bf_http_server_vtable {
@@ -36,7 +39,8 @@
 	/*
 	 * A request was refused before it was complete, as nothing was left of
 	 * the memory budget, or for its minimum rate or its length, or an
-	 * answer that is not read was given up.  May be NULL.
+	 * answer that is not read was given up, or a connection was closed for
+	 * another one.  May be NULL.
 	 */
 	void (*body_refused)(bf_http_server_t *server, bf_http_refusal_t reason,
 	    const struct sockaddr_in *from, bf_time_us_t now_us);
@@ -69,10 +73,15 @@
 	bf_listener_t listener;
 	bf_loop_t *loop;
 	bf_timer_t sweep;
-	bf_http_conn_t *conns;
+	/* The one that received nothing for longest is the first. */
+	TAILQ_HEAD(bf_http_conns, bf_http_conn) conns;
 	bf_http_limits_t limits;
 	uint32_t conn_count;
-	uint32_t conn_max;          /* 0: no limit */
+	/*
+	 * At the limit a connection without a request that was passed on gives
+	 * way to a new one.  0: no limit.
+	 */
+	uint32_t conn_max;
 	bool draining;              /* each answer closes its connection */
 	bf_memory_budget_t *budget; /* set before opening; may be NULL */
 	bf_time_us_t swept_us;
--- a/memory/budget.c
+++ b/memory/budget.c
@@ -106,8 +106,8 @@
 }
 
 /* Bytes in the recent time, scaled up for a body that is younger than that. */
-static double
-rate(const bf_memory_body_t *body, bf_time_us_t now_us)
+double
+bf_memory_body_rate(const bf_memory_body_t *body, bf_time_us_t now_us)
 {
 	bf_time_us_t age_us = now_us - body->began_us;
 
@@ -127,7 +127,7 @@
 	TAILQ_FOREACH(body, &budget->bodies, link)
 	{
 		is_new = now_us - body->began_us < NEW_US;
-		body_rate = rate(body, now_us);
+		body_rate = bf_memory_body_rate(body, now_us);
 		if (slowest == NULL || (!is_new && slowest_is_new) ||
 		    (is_new == slowest_is_new && body_rate < slowest_rate)) {
 			slowest = body;
--- a/memory/budget.h
+++ b/memory/budget.h
@@ -88,6 +88,9 @@
 bool bf_memory_body_is_too_slow(
     bf_memory_body_t *body, bf_time_us_t elapsed_us);
 
+/* Bytes a second or so, over the recent time; to compare bodies. */
+double bf_memory_body_rate(const bf_memory_body_t *body, bf_time_us_t now_us);
+
 /* The body that progresses slowest; NULL: none is being read. */
 bf_memory_body_t *bf_memory_budget_slowest(
     const bf_memory_budget_t *budget, bf_time_us_t now_us);
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1268,7 +1268,7 @@
     const struct sockaddr_in *from, bf_time_us_t now_us)
 {
 	static const char *const names[] = { "memory", "slow", "too-long",
-		"unread" };
+		"unread", "crowded" };
 	bf_mesh_t *mesh = BF_CONTAINER(server, bf_mesh_t, caller_server);
 	char address[INET_ADDRSTRLEN] = "";
 
@@ -1295,9 +1295,14 @@
 bf_code_t
 bf_entry_open(bf_mesh_t *mesh, bf_time_us_t now_us, bf_error_t *err)
 {
+	bf_connection_limit_t limit = bf_connection_limit(
+	    &mesh->machine, 0, mesh->options.connections_max);
+
 	mesh->caller_server.vtable = &callers_vtable;
 	mesh->caller_server.budget = &mesh->memory;
-	mesh->caller_server.conn_max = mesh->options.connections_max;
+	mesh->caller_server.conn_max = limit.connections;
+	mesh->caller_server.listener.backlog = limit.backlog;
+	mesh->caller_server.listener.buffer_bytes = BF_CONNECTION_BUFFER_BYTES;
 	mesh->caller_server.limits = (bf_http_limits_t){
 		.head_bytes = HEAD_BYTES_DEFAULT,
 		.body_bytes = BODY_BYTES_DEFAULT,
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -9,6 +9,7 @@
 #include "capacity/estimator.h"
 #include "capacity/zones.h"
 #include "http/client.h"
+#include "memory/connections.h"
 #include "mesh/balance.h"
 #include "mesh/body_pull.h"
 #include "mesh/call_queue.h"
@@ -451,6 +452,7 @@
 	uint64_t incarnation;
 	bf_wire_writer_t writer; /* reused for every frame sent */
 
+	bf_machine_t machine;
 	bf_memory_budget_t memory; /* what others make the process hold */
 	bf_http_server_t caller_server;
 	bf_listener_t peer_listener;
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -136,17 +136,6 @@
 	return &mesh->listener_observer;
 }
 
-/* Memory of the instance: as set, else that of the machine. */
-static uint64_t
-memory_bytes(const bf_mesh_options_t *options)
-{
-	long pages = sysconf(_SC_PHYS_PAGES), bytes = sysconf(_SC_PAGESIZE);
-
-	if (options->memory_mb != 0)
-		return (uint64_t)options->memory_mb << 20;
-	return pages > 0 && bytes > 0 ? (uint64_t)pages * (uint64_t)bytes : 0;
-}
-
 bf_mesh_t *
 bf_mesh_new(const bf_mesh_options_t *options, const bf_dialect_t *dialect,
     bf_loop_t *loop, bf_kv_t *kv, bf_events_t *events,
@@ -179,8 +168,10 @@
 	mesh->listener_observer.changed = on_listener_changed;
 	mesh->caller_server.listener.source.fd = -1;
 	mesh->peer_listener.source.fd = -1;
+	bf_machine_read(
+	    &mesh->machine, options->memory_mb, options->descriptors_max);
 	bf_memory_budget_init(
-	    &mesh->memory, bf_memory_budget_limit(memory_bytes(options)));
+	    &mesh->memory, bf_memory_budget_limit(mesh->machine.memory_bytes));
 	bf_wire_writer_init(&mesh->writer);
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
@@ -396,6 +387,8 @@
 		bf_target_update_gauges(mesh, now_us);
 	bf_metric_set(
 	    m->connections, "callers", mesh->caller_server.conn_count);
+	bf_metric_set(
+	    m->connections, "callers_limit", mesh->caller_server.conn_max);
 	bf_metric_set(m->connections, "target", mesh->target.client.conn_count);
 	if (mesh->events != NULL) {
 		bf_metric_set(
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -43,7 +43,8 @@
 	/* The options below are those of basilmeshd.toml(5). */
 	const char *const *zones; /* all zones of the mesh, as "ZONE=REGION" */
 	size_t zone_count;
-	uint32_t memory_mb; /* of the instance; 0: not known */
+	uint32_t memory_mb;       /* of the instance; 0: not known */
+	uint32_t descriptors_max; /* of the process; 0: as the system limits */
 	bool fail_closed;
 	uint32_t revoke_ms;
 	uint32_t cap_window_ms; /* 0: usage caps are not enforced */
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -5,14 +5,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include "memory/connections.h"
 #include "net/tcp.h"
 
-#define LISTEN_BACKLOG 1024
-/*
- * Receive buffer of a connection that has been paused: the kernel would let it
- * grow to several MB, which count against the machine's memory too.
- */
-#define PAUSED_RECEIVE_BYTES 65536
+#define BACKLOG_DEFAULT 1024
 #define ACCEPTS_PER_EVENT_MAX 64
 /* Pause after a failure of accept(2); waiting clients do not notice it. */
 #define ACCEPT_RETRY_US (50 * BF_US_PER_MS)
@@ -40,7 +36,8 @@
 static void
 pause_reading(bf_tcp_t *tcp)
 {
-	int bytes = PAUSED_RECEIVE_BYTES;
+	/* The kernel would let the buffer grow to several MB. */
+	int bytes = BF_CONNECTION_BUFFER_BYTES;
 
 	tcp->paused = true;
 	(void)setsockopt(
@@ -109,6 +106,13 @@
 		close_and_report(tcp, true, now_us);
 }
 
+void
+bf_tcp_flush(bf_tcp_t *tcp)
+{
+	if (bf_tcp_is_open(tcp) && !tcp->connecting && !tcp->blocked)
+		(void)flush(tcp);
+}
+
 static void
 run_flush(bf_task_t *task, bf_time_us_t now_us)
 {
@@ -346,6 +350,11 @@
 
 	(void)events;
 	for (i = 0; i < ACCEPTS_PER_EVENT_MAX && source->fd >= 0; i++) {
+		if (listener->may_accept != NULL &&
+		    !listener->may_accept(listener, now_us)) {
+			pause_listener(listener, now_us);
+			return;
+		}
 		bytes = sizeof(from);
 		fd = accept4(source->fd, (struct sockaddr *)&from, &bytes,
 		    SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -361,6 +370,16 @@
 	}
 }
 
+/* Accepted connections inherit the sizes from the listening socket. */
+static void
+set_buffers(int fd, uint32_t bytes)
+{
+	int value = (int)bytes;
+
+	(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &value, sizeof(value));
+	(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &value, sizeof(value));
+}
+
 bf_code_t
 bf_listener_open(bf_listener_t *listener, bf_loop_t *loop,
     const struct sockaddr_in *address, bf_error_t *err)
@@ -376,8 +395,12 @@
 		return bf_error_set(err, BF_ERR_IO,
 		    "cannot create a socket: %s", strerror(errno));
 	(void)setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+	if (listener->buffer_bytes != 0)
+		set_buffers(fd, listener->buffer_bytes);
 	if (bind(fd, (const struct sockaddr *)address, sizeof(*address)) != 0 ||
-	    listen(fd, LISTEN_BACKLOG) != 0) {
+	    listen(fd,
+		listener->backlog != 0 ? (int)listener->backlog
+				       : BACKLOG_DEFAULT) != 0) {
 		bf_error_set(err, BF_ERR_IO, "cannot listen on port %u: %s",
 		    (unsigned int)ntohs(address->sin_port), strerror(errno));
 		close(fd);
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -99,6 +99,9 @@
 /* Closes once all bytes are written. */
 void bf_tcp_finish(bf_tcp_t *tcp);
 
+/* Writes now what the socket takes; the connection stays open. */
+void bf_tcp_flush(bf_tcp_t *tcp);
+
 typedef struct bf_listener bf_listener_t;
 typedef struct bf_listener_observer bf_listener_observer_t;
 
@@ -120,7 +123,14 @@
 	/* Takes over fd. */
 	void (*accepted)(bf_listener_t *listener, int fd,
 	    const struct sockaddr_in *from, bf_time_us_t now_us);
-	const char *name;                 /* for the observer */
+	/*
+	 * Whether one more connection may be accepted; if not, it waits.  May
+	 * be NULL.
+	 */
+	bool (*may_accept)(bf_listener_t *listener, bf_time_us_t now_us);
+	uint32_t backlog;      /* connections that wait; 0: 1024 */
+	uint32_t buffer_bytes; /* SO_RCVBUF, SO_SNDBUF; 0: the kernel's */
+	const char *name;      /* for the observer */
 	bf_listener_observer_t *observer; /* may be NULL */
 	bf_timer_t retry;                 /* set while nothing is accepted */
 	int error; /* of the last accept(2); 0: it succeeded */
--- a/settings/meshd.c
+++ b/settings/meshd.c
@@ -65,6 +65,7 @@
 	    .valid = zone_valid,
 	    .expected = "ZONE=REGION" },
 	{ .key = "memory_mb", .kind = BF_FIELD_CUSTOM }, /* read_scaled() */
+	{ .key = "descriptors_max", .kind = BF_FIELD_CUSTOM },
 };
 
 static const bf_field_t caller_fields[] = {
@@ -258,6 +259,8 @@
 	    &settings->stop.grace_ms, diagnostics);
 	read_scaled(root, "node", "memory_mb", MEMORY_MB_MAX, 1,
 	    &settings->node.memory_mb, diagnostics);
+	read_scaled(root, "node", "descriptors_max", COUNT_MAX, 1,
+	    &settings->node.descriptors_max, diagnostics);
 	read_scaled(root, "accounts", "revoke_ms", DURATION_S_MAX * MS_PER_S, 1,
 	    &settings->accounts.revoke_ms, diagnostics);
 	read_scaled(root, "usage_caps", "window_s", DURATION_S_MAX, MS_PER_S,
--- a/settings/meshd.h
+++ b/settings/meshd.h
@@ -23,7 +23,8 @@
 		/* All availability zones of the mesh, as "ZONE=REGION". */
 		const char *const *zones;
 		size_t zone_count;
-		uint32_t memory_mb; /* of the instance; 0: unknown */
+		uint32_t memory_mb;       /* of the instance; 0: unknown */
+		uint32_t descriptors_max; /* 0: as the system limits them */
 	} node;
 	struct {
 		const char *listen;
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -1,6 +1,8 @@
 #include <arpa/inet.h>
+#include <errno.h>
 #include <glib.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <unistd.h>
 
@@ -563,6 +565,108 @@
 	g_assert_cmpuint(budget.held_bytes, ==, 0);
 }
 
+/* The status of the answer that has arrived; 0: none, -1: closed without. */
+static int
+received_status(int fd)
+{
+	char text[13] = "";
+	ssize_t n = recv(fd, text, sizeof(text) - 1, MSG_DONTWAIT);
+
+	if (n < 0 && errno == EAGAIN)
+		return 0;
+	return n == sizeof(text) - 1 ? atoi(text + strlen("HTTP/1.1 ")) : -1;
+}
+
+#define KEPT_REQUEST "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+#define HELD_REQUEST "GET /hold HTTP/1.1\r\nHost: h\r\n\r\n"
+#define HALF_REQUEST "GET / HTTP/1.1\r\nHost:"
+
+/*
+ * At the limit the connection that stands still gives way, not one that is idle
+ * after an answer nor one whose request was passed on.
+ */
+static void
+test_newcomer(void)
+{
+	fixture_t fixture;
+	int kept, held, half, newcomer;
+
+	fixture_init(&fixture);
+	fixture.server.conn_max = 3;
+	kept = connect_raw(&fixture, KEPT_REQUEST);
+	held = connect_raw(&fixture, HELD_REQUEST);
+	half = connect_raw(&fixture, HALF_REQUEST);
+	run_for(&fixture, 30);
+	g_assert_cmpint(received_status(kept), ==, 200);
+	g_assert_cmpint(received_status(half), ==, 0);
+	newcomer = connect_raw(&fixture, KEPT_REQUEST);
+	run_for(&fixture, 100);
+	g_assert_cmpint(received_status(newcomer), ==, 200);
+	g_assert_cmpint(received_status(half), ==, 503);
+	g_assert_cmpint(received_status(held), ==, 0);
+	g_assert_cmpuint(fixture.server.conn_count, ==, 3);
+	close(kept);
+	close(held);
+	close(half);
+	close(newcomer);
+	fixture_free(&fixture);
+}
+
+/* If none can give way, the newcomer waits until one has left. */
+static void
+test_newcomer_waits(void)
+{
+	fixture_t fixture;
+	int held, newcomer;
+
+	fixture_init(&fixture);
+	fixture.server.conn_max = 1;
+	held = connect_raw(&fixture, HELD_REQUEST);
+	run_for(&fixture, 30);
+	newcomer = connect_raw(&fixture, KEPT_REQUEST);
+	run_for(&fixture, 100);
+	g_assert_cmpint(received_status(newcomer), ==, 0);
+	close(held);
+	run_for(&fixture, 200);
+	g_assert_cmpint(received_status(newcomer), ==, 200);
+	close(newcomer);
+	fixture_free(&fixture);
+}
+
+/* Of two that stand behind, the one that gets more bytes stays. */
+static void
+test_slower_gives_way(void)
+{
+	static const char head[] =
+	    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9000\r\n\r\n";
+	bf_memory_budget_t budget;
+	char part[4000] = "";
+	fixture_t fixture;
+	int fast, slow, newcomer;
+
+	bf_memory_budget_init(&budget, 0);
+	fixture_init(&fixture);
+	fixture.server.budget = &budget;
+	fixture.server.conn_max = 2;
+	fast = connect_raw(&fixture, head);
+	slow = connect_raw(&fixture, head);
+	run_for(&fixture, 30);
+	g_assert_cmpint(
+	    send(fast, part, sizeof(part), 0), ==, (ssize_t)sizeof(part));
+	run_for(&fixture, 30);
+	g_assert_cmpint(send(slow, part, 1, 0), ==, 1);
+	run_for(&fixture, 30);
+	newcomer = connect_raw(&fixture, KEPT_REQUEST);
+	run_for(&fixture, 100);
+	g_assert_cmpint(received_status(newcomer), ==, 200);
+	g_assert_cmpint(received_status(slow), ==, 503);
+	g_assert_cmpint(received_status(fast), ==, 0);
+	close(fast);
+	close(slow);
+	close(newcomer);
+	fixture_free(&fixture);
+}
+
 /* A kept connection is reused until the server closes it as idle. */
 static void
 test_keep_alive(void)
@@ -838,6 +942,9 @@
 	g_test_add_func("/http/unread-answers", test_unread_answers);
 	g_test_add_func("/http/reading-paused", test_reading_paused);
 	g_test_add_func("/http/stopped-body", test_stopped_body_refused);
+	g_test_add_func("/http/newcomer", test_newcomer);
+	g_test_add_func("/http/newcomer-waits", test_newcomer_waits);
+	g_test_add_func("/http/slower-gives-way", test_slower_gives_way);
 	g_test_add_func("/http/status-lines", test_status_lines);
 	g_test_add_func("/http/answer-endings", test_answer_endings);
 	return g_test_run();
--- a/tests/test_meshd_settings.c
+++ b/tests/test_meshd_settings.c
@@ -70,6 +70,7 @@
 	{ "[repeats]\n", "burst", FIELD(repeats.burst), 1, 0 },
 	{ "[repeats]\n", "window_s", FIELD(repeats.window_ms), 1000, 0 },
 	{ NODE, "memory_mb", FIELD(node.memory_mb), 1, 0 },
+	{ NODE, "descriptors_max", FIELD(node.descriptors_max), 1, 0 },
 	{ "[accounts]\n", "revoke_ms", FIELD(accounts.revoke_ms), 1, 0 },
 	{ "[usage_caps]\n", "window_s", FIELD(usage_caps.window_ms), 1000, 0 },
 	{ "[usage_caps]\n", "over", FIELD(usage_caps.over_ppm), 1000000, 0 },
