Read no more requests than a connection has answers for

Callers saw: a crowd that sent many requests without reading the answers took a node's memory (35.3 MB of 32), and one that sent requests without waiting took more (40.5 MB). With that bounded, the second crowd kept every connection busy for good, and an ordinary call got no answer in a minute.

Cause: one read of 64 KB was parsed to its end, more than a thousand requests, before the budget was asked again; the calls of these requests are not in it. And a connection that always has a request at a target never gives way.

Change: parsing stops behind the 16th request without an answer, or with 64 KB of answers unread, and goes on when there is room. While a connection waits to be accepted and none can give way, the busiest ones close behind the requests that were read. A paused connection still notices that its caller leaves.

Why it works: what a connection can hold no longer depends on how small its requests are. Requests behind an answer that closes count as not read, so no call is cut and callers may send them again.

--- a/http/message.c
+++ b/http/message.c
@@ -421,6 +421,10 @@
 
 	if (reader->fault != BF_HTTP_OK)
 		return reader->fault;
+	if (reader->paused) {
+		reader->paused = false;
+		http_parser_pause(&reader->parser, 0);
+	}
 	used = execute(reader, data, bytes);
 	while (reader->fault == BF_HTTP_OK && reader->after_interim) {
 		reader->after_interim = false;
@@ -428,6 +432,7 @@
 		http_parser_pause(&reader->parser, 0);
 		used += execute(reader, data + used, bytes - used);
 	}
+	reader->used_bytes = used;
 	code = HTTP_PARSER_ERRNO(&reader->parser);
 	if (code == HPE_PAUSED) {
 		reader->has_trailing_bytes = used < bytes;
@@ -442,6 +447,13 @@
 	return reader->fault;
 }
 
+void
+bf_http_reader_pause(bf_http_reader_t *reader)
+{
+	reader->paused = true;
+	http_parser_pause(&reader->parser, 1);
+}
+
 void
 bf_http_reader_finish(bf_http_reader_t *reader)
 {
--- a/http/message.h
+++ b/http/message.h
@@ -99,6 +99,8 @@
 	bool response_to_head; /* the response to a HEAD request has no body */
 	bool after_interim;    /* the next response has not begun */
 	bool has_trailing_bytes; /* after a single_message */
+	bool paused;             /* see bf_http_reader_pause */
+	size_t used_bytes;       /* of the last feed */
 };
 
 /* Parses requests, or responses when requests is false. */
@@ -110,6 +112,12 @@
 bf_http_fault_t bf_http_reader_feed(
     bf_http_reader_t *reader, const uint8_t *data, size_t bytes);
 
+/*
+ * To be called when a message is complete: the current feed ends behind it, at
+ * used_bytes, and the next one goes on.
+ */
+void bf_http_reader_pause(bf_http_reader_t *reader);
+
 /* Reports an orderly close, which ends a body without a length. */
 void bf_http_reader_finish(bf_http_reader_t *reader);
 
--- a/http/server.c
+++ b/http/server.c
@@ -11,6 +11,14 @@
 #define SWEEP_PAUSED_US (20 * BF_US_PER_MS)
 /* Sent with a refusal for want of memory: about the time of a large body. */
 #define RETRY_AFTER_FIELD "Retry-After: 1\r\n"
+/*
+ * A connection with so many requests without an answer, or so many bytes of
+ * answers that its caller has not read, is not read until there are fewer.
+ */
+#define PIPELINED_MAX 16
+#define UNSENT_BYTES_MAX ((size_t)BF_TCP_READ_BYTES)
+/* Connections that close behind their requests for others that wait. */
+#define CLOSING_MAX 16
 /*
  * Of the connections that received nothing for longest, so many are compared to
  * find the one that gives way.
@@ -25,6 +33,10 @@
 	struct sockaddr_in from;
 	bf_http_request_t *first;
 	bf_http_request_t **last;
+	uint32_t request_count;
+	bf_bytes_t unparsed; /* bytes behind the last request that was read */
+	bf_memory_charge_t unparsed_charge;
+	bf_task_t parse_task;
 	bf_time_us_t now_us;    /* time of the loop iteration that reads */
 	bf_time_us_t began_us;  /* start of the message being read; 0: none */
 	bool in_head;           /* its head is not complete yet */
@@ -48,6 +60,7 @@
 static void
 free_request(bf_http_request_t *request)
 {
+	request->conn->request_count--;
 	bf_http_message_free(request->message);
 	bf_bytes_free(&request->answer);
 	bf_memory_charge_set(&request->answer_charge, 0);
@@ -74,9 +87,26 @@
 		free_request(request);
 	}
 	bf_http_reader_clear(&conn->reader);
+	bf_bytes_free(&conn->unparsed);
+	bf_memory_charge_set(&conn->unparsed_charge, 0);
 	bf_loop_defer_free(server->loop, conn);
 }
 
+static bool
+is_full(const bf_http_conn_t *conn)
+{
+	return conn->request_count >= PIPELINED_MAX ||
+	    bf_tcp_unsent(&conn->tcp) >= UNSENT_BYTES_MAX;
+}
+
+/* Goes on with bytes that were left behind a request. */
+static void
+schedule_parse(bf_http_conn_t *conn)
+{
+	if (bf_bytes_count(&conn->unparsed) > 0 && !is_full(conn))
+		bf_loop_defer(conn->server->loop, &conn->parse_task);
+}
+
 /* Moves an answer to the connection's output; avoids a copy of a large one. */
 static void
 move_answer(bf_http_conn_t *conn, bf_http_request_t *request)
@@ -114,6 +144,7 @@
 		bf_tcp_finish(&conn->tcp);
 	}
 	bf_tcp_schedule_flush(&conn->tcp);
+	schedule_parse(conn);
 }
 
 const char *
@@ -194,6 +225,7 @@
 	request->head_received_at_us = conn->began_us;
 	*conn->last = request;
 	conn->last = &request->next;
+	conn->request_count++;
 	return request;
 }
 
@@ -235,6 +267,8 @@
 	if (!message->keep_alive)
 		conn->reading_ended = true;
 	conn->server->vtable->request(conn->server, request, conn->now_us);
+	if (is_full(conn))
+		bf_http_reader_pause(reader);
 }
 
 static const bf_http_reader_vtable_t reader_vtable = {
@@ -299,7 +333,15 @@
 	bf_http_server_t *server = conn->server;
 
 	/* Bytes after a refusal are discarded, so they take no memory. */
-	if (server->budget == NULL || conn->reading_ended ||
+	if (conn->reading_ended)
+		return true;
+	if (tcp->peer_closed && server->vtable->abandoned != NULL) {
+		drop_conn(conn, now_us);
+		return false;
+	}
+	if (is_full(conn) || bf_bytes_count(&conn->unparsed) > 0)
+		return false;
+	if (server->budget == NULL ||
 	    bf_memory_budget_make_room(
 		server->budget, BF_TCP_READ_BYTES, now_us))
 		return true;
@@ -309,30 +351,28 @@
 }
 
 static void
-conn_received(
-    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+keep_unparsed(bf_http_conn_t *conn, const uint8_t *data, size_t bytes)
 {
-	bf_http_conn_t *conn = conn_of(tcp);
+	bf_bytes_add(&conn->unparsed, data, bytes);
+	bf_memory_charge_set(
+	    &conn->unparsed_charge, bf_memory_of(&conn->unparsed));
+	if (conn->unparsed.failed)
+		refuse(conn, 503);
+}
 
-	if (tcp->peer_closed && conn->server->vtable->abandoned != NULL) {
-		/* Nobody waits for the requests in these bytes. */
-		drop_conn(conn, now_us);
-		return;
-	}
-	conn->now_us = now_us;
-	conn->active_us = now_us;
-	TAILQ_REMOVE(&conn->server->conns, conn, link);
-	TAILQ_INSERT_TAIL(&conn->server->conns, conn, link);
+static void
+parse(bf_http_conn_t *conn, const uint8_t *data, size_t bytes,
+    bf_time_us_t now_us)
+{
 	if (conn->reading_ended)
 		return;
+	conn->now_us = now_us;
 	if (conn->began_us == 0) {
 		conn->began_us = now_us;
 		conn->in_head = true;
 	}
 	conn->reader.head_bytes_max = conn->server->limits.head_bytes;
 	conn->reader.body_bytes_max = conn->server->limits.body_bytes;
-	if (conn->body.budget != NULL)
-		bf_memory_body_received(&conn->body, bytes, now_us);
 	switch (bf_http_reader_feed(&conn->reader, data, bytes)) {
 	case BF_HTTP_OK:
 		if (conn->reader.message == NULL) {
@@ -342,6 +382,10 @@
 			conn->began_us = now_us;
 			conn->in_head = true;
 		}
+		if (conn->reader.paused && !conn->reading_ended &&
+		    conn->reader.used_bytes < bytes)
+			keep_unparsed(conn, data + conn->reader.used_bytes,
+			    bytes - conn->reader.used_bytes);
 		break;
 	case BF_HTTP_HEAD_TOO_LARGE:
 		refuse(conn, 431);
@@ -359,6 +403,57 @@
 	}
 }
 
+static void
+run_parse(bf_task_t *task, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = BF_CONTAINER(task, bf_http_conn_t, parse_task);
+	bf_bytes_t bytes = conn->unparsed;
+
+	if (!bf_tcp_is_open(&conn->tcp) || is_full(conn))
+		return;
+	conn->unparsed = (bf_bytes_t){ 0 };
+	bf_memory_charge_set(&conn->unparsed_charge, 0);
+	parse(conn, bf_bytes_data(&bytes), bf_bytes_count(&bytes), now_us);
+	bf_bytes_free(&bytes);
+	schedule_parse(conn);
+	if (bf_bytes_count(&conn->unparsed) == 0 && !is_full(conn))
+		bf_tcp_resume(&conn->tcp);
+}
+
+static void
+conn_flushed(bf_tcp_t *tcp, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = conn_of(tcp);
+
+	(void)now_us;
+	if (bf_bytes_count(&conn->unparsed) > 0)
+		schedule_parse(conn);
+	else if (!is_full(conn))
+		bf_tcp_resume(tcp);
+}
+
+static void
+conn_received(
+    bf_tcp_t *tcp, const uint8_t *data, size_t bytes, bf_time_us_t now_us)
+{
+	bf_http_conn_t *conn = conn_of(tcp);
+
+	if (tcp->peer_closed && conn->server->vtable->abandoned != NULL) {
+		/* Nobody waits for the requests in these bytes. */
+		drop_conn(conn, now_us);
+		return;
+	}
+	conn->active_us = now_us;
+	TAILQ_REMOVE(&conn->server->conns, conn, link);
+	TAILQ_INSERT_TAIL(&conn->server->conns, conn, link);
+	if (conn->body.budget != NULL && !conn->reading_ended)
+		bf_memory_body_received(&conn->body, bytes, now_us);
+	if (bf_bytes_count(&conn->unparsed) > 0 && !conn->reading_ended)
+		keep_unparsed(conn, data, bytes);
+	else
+		parse(conn, data, bytes, now_us);
+}
+
 static void
 conn_ended(bf_tcp_t *tcp, bool orderly, bf_time_us_t now_us)
 {
@@ -369,6 +464,7 @@
 static const bf_tcp_vtable_t conn_vtable = {
 	.may_read = conn_may_read,
 	.received = conn_received,
+	.flushed = conn_flushed,
 	.ended = conn_ended,
 };
 
@@ -376,7 +472,8 @@
 is_idle(const bf_http_conn_t *conn)
 {
 	return conn->first == NULL && conn->began_us == 0 &&
-	    bf_tcp_unsent(&conn->tcp) == 0;
+	    bf_tcp_unsent(&conn->tcp) == 0 &&
+	    bf_bytes_count(&conn->unparsed) == 0;
 }
 
 /*
@@ -438,6 +535,54 @@
 	drop_conn(conn, now_us);
 }
 
+/*
+ * The connection that is to close behind its last answer, so that a new one
+ * gets its turn: that with the most requests.  NULL: there is none, or enough
+ * are to close already.
+ */
+static bf_http_conn_t *
+find_busiest(const bf_http_server_t *server)
+{
+	bf_http_conn_t *conn, *busiest = NULL;
+	uint32_t closing = 0;
+
+	TAILQ_FOREACH(conn, &server->conns, link)
+	{
+		if (conn->request_count == 0)
+			continue;
+		if (conn->reading_ended) {
+			if (++closing == CLOSING_MAX)
+				return NULL;
+			continue;
+		}
+		if (busiest == NULL ||
+		    conn->request_count > busiest->request_count)
+			busiest = conn;
+	}
+	return busiest;
+}
+
+/*
+ * Reads no further request.  Those that the caller has sent behind the last one
+ * that was read count as not read, as its answer closes the connection.
+ */
+static void
+close_behind_requests(bf_http_conn_t *conn)
+{
+	bf_http_request_t *request = conn->first;
+
+	while (request->next != NULL)
+		request = request->next;
+	request->close_after = true;
+	conn->reading_ended = true;
+	conn->began_us = 0;
+	bf_memory_body_end(&conn->body);
+	bf_http_reader_clear(&conn->reader);
+	bf_bytes_clear(&conn->unparsed);
+	bf_memory_charge_set(&conn->unparsed_charge, 0);
+	bf_tcp_resume(&conn->tcp);
+}
+
 static bool
 may_accept(bf_listener_t *listener, bf_time_us_t now_us)
 {
@@ -448,6 +593,19 @@
 	    find_slowest(server, now_us) != NULL;
 }
 
+/* Gives a connection that waits its turn. */
+static void
+on_waits(bf_listener_t *listener, bf_time_us_t now_us)
+{
+	const bf_http_server_t *server =
+	    BF_CONTAINER(listener, bf_http_server_t, listener);
+	bf_http_conn_t *busiest = find_busiest(server);
+
+	(void)now_us;
+	if (busiest != NULL)
+		close_behind_requests(busiest);
+}
+
 static void
 on_accepted(bf_listener_t *listener, int fd, const struct sockaddr_in *from,
     bf_time_us_t now_us)
@@ -472,6 +630,8 @@
 	conn->reader.budget = server->budget;
 	conn->tcp.out_charge.budget = server->budget;
 	conn->charge.budget = server->budget;
+	conn->unparsed_charge.budget = server->budget;
+	conn->parse_task.run = run_parse;
 	bf_memory_charge_set(&conn->charge, sizeof(*conn));
 	conn->body.refuse = refuse_body;
 	conn->answers.refuse = drop_answers;
@@ -526,7 +686,8 @@
 	bf_http_server_t *server = conn->server;
 
 	if (conn->tcp.paused) {
-		bf_tcp_resume(&conn->tcp);
+		if (!is_full(conn) && bf_bytes_count(&conn->unparsed) == 0)
+			bf_tcp_resume(&conn->tcp);
 	} else if (conn->body.budget != NULL &&
 	    bf_memory_body_is_too_slow(&conn->body, elapsed_us)) {
 		report_refusal(conn, BF_HTTP_REFUSAL_SLOW, now_us);
@@ -571,6 +732,7 @@
 	server->swept_us = now_us;
 	server->listener.accepted = on_accepted;
 	server->listener.may_accept = may_accept;
+	server->listener.waits = on_waits;
 	TAILQ_INIT(&server->conns);
 	server->sweep.fire = sweep;
 	bf_loop_timer_set(loop, &server->sweep, now_us + SWEEP_US);
--- a/net/tcp.c
+++ b/net/tcp.c
@@ -24,13 +24,21 @@
 	tcp->vtable->ended(tcp, orderly, now_us);
 }
 
+/* While nothing is read, only the first sign of a close is of interest. */
+static uint32_t
+read_events(const bf_tcp_t *tcp)
+{
+	if (!tcp->paused)
+		return READ_EVENTS;
+	return tcp->peer_closed ? 0 : (uint32_t)EPOLLRDHUP;
+}
+
 /* Sets the events to wait for. */
 static void
 update_events(bf_tcp_t *tcp)
 {
 	bf_loop_change(tcp->loop, &tcp->source,
-	    (tcp->paused ? 0 : READ_EVENTS) |
-		(tcp->blocked ? (uint32_t)EPOLLOUT : 0));
+	    read_events(tcp) | (tcp->blocked ? (uint32_t)EPOLLOUT : 0));
 }
 
 static void
@@ -102,8 +110,12 @@
 		return;
 	}
 	bf_memory_charge_set(&tcp->out_charge, bf_memory_of(&tcp->out));
-	if (tcp->close_when_flushed && bf_tcp_unsent(tcp) == 0)
+	if (bf_tcp_unsent(tcp) > 0)
+		return;
+	if (tcp->close_when_flushed)
 		close_and_report(tcp, true, now_us);
+	else if (tcp->vtable->flushed != NULL)
+		tcp->vtable->flushed(tcp, now_us);
 }
 
 void
@@ -352,6 +364,9 @@
 	for (i = 0; i < ACCEPTS_PER_EVENT_MAX && source->fd >= 0; i++) {
 		if (listener->may_accept != NULL &&
 		    !listener->may_accept(listener, now_us)) {
+			/* Later there may be none left. */
+			if (i == 0 && listener->waits != NULL)
+				listener->waits(listener, now_us);
 			pause_listener(listener, now_us);
 			return;
 		}
--- a/net/tcp.h
+++ b/net/tcp.h
@@ -27,6 +27,8 @@
 	bool (*may_read)(bf_tcp_t *tcp, bf_time_us_t now_us);
 	void (*received)(bf_tcp_t *tcp, const uint8_t *data, size_t bytes,
 	    bf_time_us_t now_us);
+	/* All bytes sent so far are written to the socket; may be NULL. */
+	void (*flushed)(bf_tcp_t *tcp, bf_time_us_t now_us);
 	/*
 	 * The connection is closed: orderly by the peer's end of stream or
 	 * after bf_tcp_finish, otherwise by a reset or a failure.  Not called
@@ -128,6 +130,8 @@
 	 * be NULL.
 	 */
 	bool (*may_accept)(bf_listener_t *listener, bf_time_us_t now_us);
+	/* A connection waits that may not be accepted; may be NULL. */
+	void (*waits)(bf_listener_t *listener, bf_time_us_t now_us);
 	uint32_t backlog;      /* connections that wait; 0: 1024 */
 	uint32_t buffer_bytes; /* SO_RCVBUF, SO_SNDBUF; 0: the kernel's */
 	const char *name;      /* for the observer */
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -633,6 +633,64 @@
 	fixture_free(&fixture);
 }
 
+/*
+ * A caller that sends many requests without waiting for answers is not read
+ * any further, and closes behind its requests for a newcomer.
+ */
+static void
+test_pipelined_without_end(void)
+{
+	GString *requests = g_string_new(NULL);
+	fixture_t fixture;
+	int fd, i, newcomer;
+
+	fixture_init(&fixture);
+	fixture.server.conn_max = 1;
+	for (i = 0; i < 100; i++)
+		g_string_append(requests, HELD_REQUEST);
+	fd = connect_raw(&fixture, requests->str);
+	run_for(&fixture, 30);
+	newcomer = connect_raw(&fixture, KEPT_REQUEST);
+	run_for(&fixture, 100);
+	g_assert_cmpint(received_status(newcomer), ==, 0);
+	close(fd);
+	run_for(&fixture, 200);
+	g_assert_cmpuint(fixture.abandoned, ==, 16);
+	g_assert_cmpint(received_status(newcomer), ==, 200);
+	close(newcomer);
+	fixture_free(&fixture);
+	g_string_free(requests, TRUE);
+}
+
+/* Answers in the order of the requests, however many are sent at once. */
+static void
+test_pipelined_at_once(void)
+{
+	GString *requests = g_string_new(NULL), *answers = g_string_new(NULL);
+	const char *at;
+	fixture_t fixture;
+	char buffer[4096];
+	int fd, i, count = 0;
+	ssize_t n;
+
+	fixture_init(&fixture);
+	for (i = 0; i < 1000; i++)
+		g_string_append(requests, KEPT_REQUEST);
+	fd = connect_raw(&fixture, requests->str);
+	for (i = 0; i < 10; i++) {
+		run_for(&fixture, 30);
+		while ((n = recv(fd, buffer, sizeof(buffer), MSG_DONTWAIT)) > 0)
+			g_string_append_len(answers, buffer, n);
+	}
+	for (at = answers->str; (at = strstr(at, "HTTP/1.1 200")) != NULL; at++)
+		count++;
+	g_assert_cmpint(count, ==, 1000);
+	close(fd);
+	fixture_free(&fixture);
+	g_string_free(requests, TRUE);
+	g_string_free(answers, TRUE);
+}
+
 /* Of two that stand behind, the one that gets more bytes stays. */
 static void
 test_slower_gives_way(void)
@@ -944,6 +1002,9 @@
 	g_test_add_func("/http/stopped-body", test_stopped_body_refused);
 	g_test_add_func("/http/newcomer", test_newcomer);
 	g_test_add_func("/http/newcomer-waits", test_newcomer_waits);
+	g_test_add_func(
+	    "/http/pipelined-without-end", test_pipelined_without_end);
+	g_test_add_func("/http/pipelined-at-once", test_pipelined_at_once);
 	g_test_add_func("/http/slower-gives-way", test_slower_gives_way);
 	g_test_add_func("/http/status-lines", test_status_lines);
 	g_test_add_func("/http/answer-endings", test_answer_endings);
