Accept as many connections as legal callers open

At the limit, an answer that waits for its caller's window counted as standing still.

Change: the kernel's buffers for a connection are 8 KB in each direction, a connection counts as 40 KB, and three eighths of the memory are for them: 2,496 with 260 MB. An answer gives way only if its caller has read nothing of it for 2 s. Connections that wait for memory are resumed 64 at a time, and only if there is room.

--- a/http/server.c
+++ b/http/server.c
@@ -17,6 +17,13 @@
  */
 #define PIPELINED_MAX 16
 #define UNSENT_BYTES_MAX ((size_t)BF_TCP_READ_BYTES)
+/*
+ * An answer of which its caller has read nothing for this time is given up for
+ * a new connection.
+ */
+#define UNREAD_US (2 * BF_US_PER_S)
+/* Connections that are read again at a sweep once there is memory. */
+#define RESUMED_MAX 64
 /* Connections that close behind their requests for others that wait. */
 #define CLOSING_MAX 16
 /*
@@ -47,8 +54,9 @@
 	bf_memory_body_t body;        /* the request being read */
 	/* Answers that were not written at the last sweep. */
 	bf_memory_body_t answers;
-	uint64_t answers_sent_bytes; /* of the connection, at that sweep */
-	bf_memory_charge_t charge;   /* of the connection itself */
+	uint64_t answers_sent_bytes;  /* of the connection, at that sweep */
+	bf_time_us_t answers_read_us; /* last sweep at which some were read */
+	bf_memory_charge_t charge;    /* of the connection itself */
 };
 
 static bf_http_conn_t *
@@ -482,9 +490,13 @@
  * on.
  */
 static bool
-may_give_way(const bf_http_conn_t *conn)
+may_give_way(const bf_http_conn_t *conn, bf_time_us_t now_us)
 {
-	return conn->first == NULL && !(conn->has_served && is_idle(conn));
+	if (conn->first != NULL)
+		return false;
+	if (bf_tcp_unsent(&conn->tcp) > 0)
+		return now_us - conn->answers_read_us > UNREAD_US;
+	return !(conn->has_served && is_idle(conn));
 }
 
 /* Bytes that it receives, or that its caller reads, in the recent time. */
@@ -510,7 +522,7 @@
 
 	TAILQ_FOREACH(conn, &server->conns, link)
 	{
-		if (!may_give_way(conn))
+		if (!may_give_way(conn, now_us))
 			continue;
 		rate = progress(conn, now_us);
 		if (slowest == NULL || rate < slowest_rate) {
@@ -639,6 +651,7 @@
 	conn->from = *from;
 	conn->last = &conn->first;
 	conn->active_us = now_us;
+	conn->answers_read_us = now_us;
 	conn->idle_timeout_us = server->limits.idle_timeout_us;
 	TAILQ_INSERT_TAIL(&server->conns, conn, link);
 	server->conn_count++;
@@ -657,6 +670,15 @@
 	return true;
 }
 
+/* Notes whether answers were read since the last sweep. */
+static void
+note_answers_read(bf_http_conn_t *conn, bf_time_us_t now_us)
+{
+	if (bf_tcp_unsent(&conn->tcp) == 0 ||
+	    conn->tcp.sent_bytes != conn->answers_sent_bytes)
+		conn->answers_read_us = now_us;
+}
+
 /* Follows how fast answers are read; false if the connection was dropped. */
 static bool
 track_answers(
@@ -680,20 +702,38 @@
 	return true;
 }
 
+/* Reads a paused connection again, if there is memory for it. */
+static void
+resume_if_room(bf_http_conn_t *conn)
+{
+	bf_http_server_t *server = conn->server;
+
+	if (is_full(conn) || bf_bytes_count(&conn->unparsed) > 0)
+		return;
+	server->waits_for_memory = true;
+	if (server->resumed_count == RESUMED_MAX)
+		return;
+	if (server->budget != NULL && TAILQ_EMPTY(&server->budget->bodies) &&
+	    !bf_memory_budget_has_room(server->budget, BF_TCP_READ_BYTES))
+		return;
+	server->resumed_count++;
+	bf_tcp_resume(&conn->tcp);
+}
+
 static void
 sweep_conn(bf_http_conn_t *conn, bf_time_us_t elapsed_us, bf_time_us_t now_us)
 {
 	bf_http_server_t *server = conn->server;
 
 	if (conn->tcp.paused) {
-		if (!is_full(conn) && bf_bytes_count(&conn->unparsed) == 0)
-			bf_tcp_resume(&conn->tcp);
+		resume_if_room(conn);
 	} else if (conn->body.budget != NULL &&
 	    bf_memory_body_is_too_slow(&conn->body, elapsed_us)) {
 		report_refusal(conn, BF_HTTP_REFUSAL_SLOW, now_us);
 		refuse(conn, 503);
 		return;
 	}
+	note_answers_read(conn, now_us);
 	if (server->budget != NULL && !track_answers(conn, elapsed_us, now_us))
 		return;
 
@@ -717,11 +757,14 @@
 	bf_time_us_t elapsed_us = now_us - server->swept_us;
 
 	server->swept_us = now_us;
+	server->resumed_count = 0;
+	server->waits_for_memory = false;
 	for (conn = TAILQ_FIRST(&server->conns); conn != NULL; conn = next) {
 		next = TAILQ_NEXT(conn, link);
 		sweep_conn(conn, elapsed_us, now_us);
 	}
-	bf_loop_timer_set(server->loop, timer, now_us + SWEEP_US);
+	bf_loop_timer_set(server->loop, timer,
+	    now_us + (server->waits_for_memory ? SWEEP_PAUSED_US : SWEEP_US));
 }
 
 bf_code_t
--- a/http/server.h
+++ b/http/server.h
@@ -85,6 +85,8 @@
 	bool draining;              /* each answer closes its connection */
 	bf_memory_budget_t *budget; /* set before opening; may be NULL */
 	bf_time_us_t swept_us;
+	uint32_t resumed_count; /* connections, at the last sweep */
+	bool waits_for_memory;  /* a connection did, at the last sweep */
 };
 
 /* Starts to listen.  vtable, limits and conn_max must be set before. */
--- a/memory/budget.c
+++ b/memory/budget.c
@@ -138,15 +138,20 @@
 	return slowest;
 }
 
+bool
+bf_memory_budget_has_room(const bf_memory_budget_t *budget, uint64_t bytes)
+{
+	return budget->limit_bytes == 0 ||
+	    budget->held_bytes + bytes <= budget->limit_bytes;
+}
+
 bool
 bf_memory_budget_make_room(
     bf_memory_budget_t *budget, uint64_t bytes, bf_time_us_t now_us)
 {
 	bf_memory_body_t *body;
 
-	if (budget->limit_bytes == 0)
-		return true;
-	while (budget->held_bytes + bytes > budget->limit_bytes) {
+	while (!bf_memory_budget_has_room(budget, bytes)) {
 		body = bf_memory_budget_slowest(budget, now_us);
 		if (body == NULL)
 			return false;
--- a/memory/budget.h
+++ b/memory/budget.h
@@ -95,6 +95,10 @@
 bf_memory_body_t *bf_memory_budget_slowest(
     const bf_memory_budget_t *budget, bf_time_us_t now_us);
 
+/* Whether bytes more can be held without refusing a body. */
+bool bf_memory_budget_has_room(
+    const bf_memory_budget_t *budget, uint64_t bytes);
+
 /*
  * Refuses the slowest bodies until bytes more can be held.  Returns false if
  * they cannot: the connection should not be read now.
--- a/memory/connections.c
+++ b/memory/connections.c
@@ -6,7 +6,7 @@
 #define CONNECTIONS_MIN 8
 /* No machine needs more; it bounds the backlog's share and the sweep. */
 #define CONNECTIONS_LIMIT 65536
-#define MEMORY_DIVISOR 4
+#define MEMORY_EIGHTHS 3
 #define BACKLOG_DIVISOR 4
 #define BACKLOG_MIN 64
 #define BACKLOG_MAX 1024
@@ -36,7 +36,7 @@
 	uint64_t connections = by_descriptors(machine->descriptors), affordable;
 
 	if (machine->memory_bytes != 0) {
-		affordable = machine->memory_bytes / MEMORY_DIVISOR /
+		affordable = machine->memory_bytes / 8 * MEMORY_EIGHTHS /
 		    (BF_CONNECTION_BYTES + own_bytes);
 		if (affordable < connections)
 			connections = affordable;
--- a/memory/connections.h
+++ b/memory/connections.h
@@ -11,22 +11,21 @@
  * itself (store, other nodes, target, its own listeners, log), which is a
  * quarter of them, and at least 64.
  *
- * Memory: a quarter of the machine's, next to the half for what the process
+ * Memory: three eighths of the machine's, next to the half for what the process
  * has read (memory/budget.h).  A connection takes up to BF_CONNECTION_BYTES of
  * it, most of them in the buffers of the kernel, for which each connection of a
  * caller gets BF_CONNECTION_BUFFER_BYTES in each direction.
  */
 
 /* For SO_RCVBUF and SO_SNDBUF; the kernel takes twice as much. */
-#define BF_CONNECTION_BUFFER_BYTES 16384
+#define BF_CONNECTION_BUFFER_BYTES 8192
 
 /*
  * Both buffers, the receive buffer of a quarter of a connection that waits to
- * be accepted, and 8 KB for the structures of the kernel and the process.
+ * be accepted, and 4 KB for the structures of the kernel.
  */
-#define BF_CONNECTION_BYTES                     \
-	((2 + 2) * BF_CONNECTION_BUFFER_BYTES + \
-	    2 * BF_CONNECTION_BUFFER_BYTES / 4 + 8192)
+#define BF_CONNECTION_BYTES \
+	(4 * BF_CONNECTION_BUFFER_BYTES + BF_CONNECTION_BUFFER_BYTES / 2 + 4096)
 
 typedef struct bf_connection_limit {
 	uint32_t connections;
