Bound the connections of basilnoded too

Callers saw: while a crowd was there all descriptors of the node were taken; callers waited, and got 503 also just after it had left.

Cause: each server of each worker accepted 4,096 connections whatever the process's limits were, up to 256 idle connections to the next hop were kept, and calls whose body was not complete could take every connection for as long as their deadline. When its limit is reached, libmicrohttpd listens again only when it is run once more after a connection has ended; nothing ran it.

Change: a third of the connections that descriptors and memory allow are for callers, a sixth for other nodes, the rest for the next hop. At the limit the connection that has stood still for longest is closed. Calls that are passed on before their body is complete get half of the connections; beyond that they are refused at once as not run. libmicrohttpd is run again when a connection has ended. New setting node.memory_mb.

Why it works: the rest of the connections is held by calls that can be closed or that end by themselves, so a newcomer never waits for a deadline.

--- a/load/run.c
+++ b/load/run.c
@@ -168,7 +168,8 @@
 	report->series[1].url = options->baseline;
 	curl_global_init(CURL_GLOBAL_DEFAULT);
 	run.epoll_fd = epoll_create1(EPOLL_CLOEXEC);
-	if (run.epoll_fd < 0 || !bf_client_open(&run.client, run.epoll_fd))
+	if (run.epoll_fd < 0 ||
+	    !bf_client_open(&run.client, run.epoll_fd, UINT32_MAX))
 		return bf_error_set(err, BF_ERR_IO,
 		    "cannot create the event loop: %s", strerror(errno));
 	curl_multi_setopt(run.client.multi, CURLMOPT_MAX_HOST_CONNECTIONS,
--- a/node/node.c
+++ b/node/node.c
@@ -3,7 +3,9 @@
 
 #include <apr_strings.h>
 
+#include "memory/connections.h"
 #include "node/internal.h"
+#include "proxy/stream.h"
 #include "store/consul.h"
 
 /* Time at the end of a drain in which open connections can be closed. */
@@ -16,6 +18,12 @@
 #define WATCH_SILENCE_MS 1000
 /* Capacity for all moves' shares: one per route of each service with a move. */
 #define SHARES_MAX 4096
+/*
+ * Half of what a call takes on its two connections: the memory of the HTTP
+ * server for it, and a buffer for its body in each direction.
+ */
+#define CONNECTION_BYTES \
+	((BF_SERVER_CONNECTION_BYTES + 2 * BF_STREAM_BYTES) / 2)
 
 /* Counts a result; called for every request, so without lock or allocation. */
 static void
@@ -357,7 +365,9 @@
 create_proxy(bf_node_t *node, bf_error_t *err)
 {
 	const bf_node_settings_t *s = node->settings;
+	bf_machine_t machine;
 
+	bf_machine_read(&machine, s->node.memory_mb, 0);
 	node->spans = bf_spans_new(
 	    s->node.threads, s->trace.ring_spans, s->trace.sample_per_million);
 	if (node->spans == NULL)
@@ -375,6 +385,9 @@
 		.log = node->log,
 		.spans = node->spans,
 		.evidence = &node->evidence_hook.base,
+		.connections_max =
+		    bf_connection_limit(&machine, CONNECTION_BYTES, 0)
+			.connections,
 	    },
 	    &node->proxy, err);
 }
--- a/proxy/call.c
+++ b/proxy/call.c
@@ -32,6 +32,10 @@
 	call->hop = server->hop;
 	call->connection = connection;
 	call->start_us = bf_clock_monotonic_us();
+	call->conn = bf_conns_find(connection);
+	if (call->conn != NULL)
+		call->conn->call = call;
+	bf_conns_progress(&server->conns, call->conn, call->start_us);
 	call->start_wall_us = bf_clock_wall_us();
 	TAILQ_INSERT_TAIL(&worker->calls, call, call_link);
 	TAILQ_INSERT_TAIL(&worker->unwatched, call, unwatched_link);
@@ -242,6 +246,34 @@
 	return MHD_YES;
 }
 
+/* Passes the call on before its body is complete, or refuses it. */
+static void
+begin_streamed_call(bf_call_t *call)
+{
+	bf_conns_t *conns = &call->server->conns;
+
+	if (!bf_conns_may_stream(conns)) {
+		bf_call_refuse(call, BF_OUTCOME_NOT_RUN, BF_REASON_OVERLOADED);
+		return;
+	}
+	call->is_streamed = true;
+	call->is_streaming = true;
+	conns->streaming++;
+	if (call->body.bytes != NULL ||
+	    bf_stream_open(&call->body, BF_STREAM_BYTES))
+		begin_call(call);
+	else
+		bf_call_refuse(call, BF_OUTCOME_NOT_RUN, BF_REASON_INTERNAL);
+}
+
+static void
+end_streaming(bf_call_t *call)
+{
+	if (call->is_streaming)
+		call->server->conns.streaming--;
+	call->is_streaming = false;
+}
+
 /* Called when the server has read the head, and again after a suspension. */
 static enum MHD_Result
 handle_head(bf_call_t *call)
@@ -251,14 +283,8 @@
 			return accept_body(call);
 		bf_call_refuse(call, BF_OUTCOME_NOT_RUN, BF_REASON_INTERNAL);
 	}
-	if (call->response_kind == BF_RESPONSE_NONE && !call->begun) {
-		call->is_streamed = true;
-		if (bf_stream_open(&call->body, BF_STREAM_BYTES))
-			begin_call(call);
-		else
-			bf_call_refuse(
-			    call, BF_OUTCOME_NOT_RUN, BF_REASON_INTERNAL);
-	}
+	if (call->response_kind == BF_RESPONSE_NONE && !call->begun)
+		begin_streamed_call(call);
 	if (call->response_kind != BF_RESPONSE_NONE) {
 		/*
 		 * An early response closes the connection on a sender that is
@@ -289,12 +315,18 @@
 	written = bf_stream_write(&call->body, data, *bytes);
 	*bytes -= written;
 	bf_worker_count(call->worker, BF_METRIC_REQUEST_BYTES, written);
+	if (written > 0)
+		bf_conns_progress(
+		    &call->server->conns, call->conn, bf_clock_monotonic_us());
 	if (call->begun) {
 		bf_call_schedule(call);
 	} else if (*bytes > 0) {
 		/* The buffer is full: stream the body. */
-		call->is_streamed = true;
-		begin_call(call);
+		begin_streamed_call(call);
+		if (!call->begun) {
+			*bytes = 0; /* discarded, as after any refusal */
+			return MHD_YES;
+		}
 	}
 	if (*bytes > 0)
 		bf_call_suspend(call);
@@ -305,6 +337,7 @@
 handle_body_end(bf_call_t *call)
 {
 	if (!call->body_complete) {
+		end_streaming(call);
 		call->body_complete = true;
 		call->body.eof = true;
 		bf_call_schedule(call);
@@ -535,6 +568,12 @@
 		count_outcome(call);
 		record_span(call, now_us);
 	}
+	end_streaming(call);
+	if (call->conn != NULL) {
+		call->conn->call = NULL;
+		call->conn->has_served = true;
+	}
+	bf_conns_progress(&call->server->conns, call->conn, now_us);
 	unwatch(call);
 	unlink_call(call);
 	bf_headers_clear(&call->request_headers);
--- a/proxy/call.h
+++ b/proxy/call.h
@@ -87,6 +87,7 @@
 	bf_server_t *server;
 	const bf_hop_t *hop;
 	struct MHD_Connection *connection;
+	bf_conn_t *conn; /* NULL when there was no memory for it */
 
 	/* The request. */
 	char *request_target;
@@ -105,6 +106,7 @@
 	bool begun;            /* the hop's begin was called */
 	bool expects_continue; /* the sender waits for "100 Continue" */
 	bool is_streamed;      /* the body is not buffered whole */
+	bool is_streaming;     /* it is passed on and not complete yet */
 	bool body_accepted;    /* the server may read the body */
 	bool body_complete;    /* the server has read the whole body */
 	bool body_requested;   /* libcurl has requested the streamed body */
--- a/proxy/client.c
+++ b/proxy/client.c
@@ -7,7 +7,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define IDLE_CONNECTIONS_MAX 256L
+#define IDLE_CONNECTIONS_MAX 256U
 #define SOCKET_TABLE_STEP 64
 
 static bool
@@ -136,7 +136,7 @@
 }
 
 bool
-bf_client_open(bf_client_t *client, int epoll_fd)
+bf_client_open(bf_client_t *client, int epoll_fd, uint32_t connections_max)
 {
 	memset(client, 0, sizeof(*client));
 	client->epoll_fd = epoll_fd;
@@ -148,8 +148,10 @@
 	curl_multi_setopt(client->multi, CURLMOPT_SOCKETDATA, client);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERFUNCTION, on_timer);
 	curl_multi_setopt(client->multi, CURLMOPT_TIMERDATA, client);
-	curl_multi_setopt(
-	    client->multi, CURLMOPT_MAXCONNECTS, IDLE_CONNECTIONS_MAX);
+	curl_multi_setopt(client->multi, CURLMOPT_MAXCONNECTS,
+	    (long)(connections_max < IDLE_CONNECTIONS_MAX
+		    ? connections_max
+		    : IDLE_CONNECTIONS_MAX));
 	curl_multi_setopt(client->multi, CURLMOPT_PIPELINING, CURLPIPE_NOTHING);
 	return true;
 }
--- a/proxy/client.h
+++ b/proxy/client.h
@@ -61,7 +61,9 @@
 	uint64_t connections_opened;
 } bf_client_t;
 
-bool bf_client_open(bf_client_t *client, int epoll_fd);
+/* connections_max: most connections that are kept idle, up to 256. */
+bool bf_client_open(
+    bf_client_t *client, int epoll_fd, uint32_t connections_max);
 
 /* All easy handles must have been removed. */
 void bf_client_close(bf_client_t *client);
--- a/proxy/metrics.c
+++ b/proxy/metrics.c
@@ -17,6 +17,7 @@
 	[BF_METRIC_SILENT_CONNECTIONS] = "bf_proxy_silent_connections_total",
 	[BF_METRIC_QUEUED_CALLS] = "bf_proxy_queued_total",
 	[BF_METRIC_SPANS] = "bf_proxy_spans_total",
+	[BF_METRIC_CLOSED_FOR_OTHERS] = "bf_proxy_closed_for_others_total",
 };
 
 static bf_counter_id_t
--- a/proxy/proxy.c
+++ b/proxy/proxy.c
@@ -11,6 +11,7 @@
 
 #include <urcu.h>
 
+#include "memory/connections.h"
 #include "proxy/headers.h"
 #include "proxy/worker.h"
 
@@ -22,6 +23,9 @@
 #define RETRY_SHARE_DEFAULT_PPM 100000U
 #define IDLE_DEFAULT_US (10 * BF_US_PER_S)
 #define LISTEN_BACKLOG 1024
+#define CONNECTIONS_DEFAULT 8192U
+/* A worker with less could not serve a call at both hops. */
+#define CONNECTIONS_MIN_PER_WORKER 48U
 #define PORT_MAX 65535
 
 static bf_code_t
@@ -51,10 +55,11 @@
 
 /* Replaces port 0 in address by the port that the kernel assigned. */
 static bf_code_t
-bind_listener(struct sockaddr_in *address, int *out, bf_error_t *err)
+bind_listener(
+    struct sockaddr_in *address, bool for_callers, int *out, bf_error_t *err)
 {
+	int fd, one, buffer_bytes = BF_CONNECTION_BUFFER_BYTES;
 	socklen_t bytes;
-	int fd, one;
 
 	one = 1;
 	bytes = sizeof(*address);
@@ -62,6 +67,13 @@
 	if (fd < 0)
 		return bf_error_set(err, BF_ERR_IO,
 		    "cannot create a listening socket: %s", strerror(errno));
+	/* Accepted connections inherit them. */
+	if (for_callers) {
+		(void)setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &buffer_bytes,
+		    sizeof(buffer_bytes));
+		(void)setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &buffer_bytes,
+		    sizeof(buffer_bytes));
+	}
 	if (setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof(one)) != 0 ||
 	    setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one)) != 0 ||
 	    bind(fd, (struct sockaddr *)address, bytes) != 0 ||
@@ -93,6 +105,12 @@
 		options->attempts_max = ATTEMPTS_LIMIT;
 	if (options->retry_share_ppm == 0)
 		options->retry_share_ppm = RETRY_SHARE_DEFAULT_PPM;
+	if (options->connections_max == 0)
+		options->connections_max = CONNECTIONS_DEFAULT;
+	if (options->connections_max <
+	    CONNECTIONS_MIN_PER_WORKER * options->threads)
+		options->connections_max =
+		    CONNECTIONS_MIN_PER_WORKER * options->threads;
 	if (options->idle_max_us == 0)
 		options->idle_max_us = IDLE_DEFAULT_US;
 }
@@ -111,7 +129,8 @@
 			fds[hop] = -1;
 			if (addresses[hop].sin_family == 0)
 				continue;
-			code = bind_listener(&addresses[hop], &fds[hop], err);
+			code = bind_listener(
+			    &addresses[hop], hop == 0, &fds[hop], err);
 			if (code != BF_OK)
 				return code;
 			proxy->ports[hop] = ntohs(addresses[hop].sin_port);
--- a/proxy/proxy.h
+++ b/proxy/proxy.h
@@ -91,6 +91,9 @@
 	    bf_endpoint_result_t result, bf_time_us_t latency_us);
 };
 
+/* Memory of the HTTP server for one connection. */
+#define BF_SERVER_CONNECTION_BYTES ((size_t)40 * 1024)
+
 typedef struct bf_proxy bf_proxy_t;
 
 typedef struct bf_proxy_options {
@@ -112,6 +115,8 @@
 	uint32_t retry_share_ppm;     /* retries per call; 0: 100000, a tenth */
 	bf_time_us_t idle_max_us;     /* for a reused connection; 0: 10 s */
 	bool fresh_at_most_once; /* a new connection per at-most-once call */
+	/* In both directions, see proxy/connections.h; 0: 8192. */
+	uint32_t connections_max;
 } bf_proxy_options_t;
 
 /*
--- a/proxy/response.c
+++ b/proxy/response.c
@@ -116,7 +116,7 @@
 	}
 	if (call->hop->add_response_headers != NULL)
 		call->hop->add_response_headers(call, response);
-	if (call->close_connection ||
+	if (call->close_connection || call->server->conns.full ||
 	    atomic_load(&call->worker->proxy->draining))
 		add_text(response, "Connection", "close");
 }
@@ -138,6 +138,8 @@
 		add_response_headers(call, response);
 	add_own_headers(call, response);
 	call->response_queued = true;
+	bf_conns_progress(
+	    &call->server->conns, call->conn, bf_clock_monotonic_us());
 	result = MHD_queue_response(call->connection, call->status, response);
 	MHD_destroy_response(response);
 	return result;
--- a/proxy/worker.c
+++ b/proxy/worker.c
@@ -1,6 +1,7 @@
 #include "proxy/worker.h"
 
 #include <errno.h>
+#include <inttypes.h>
 #include <linux/filter.h>
 #include <netinet/tcp.h>
 #include <stdarg.h>
@@ -10,6 +11,7 @@
 #include <sys/epoll.h>
 #include <sys/eventfd.h>
 #include <sys/random.h>
+#include <syslog.h>
 #include <unistd.h>
 
 #include <urcu.h>
@@ -20,8 +22,8 @@
 #define TCP_FLAGS_OFFSET 13 /* bytes from the start of a TCP header */
 #define EVENTS_PER_WAIT 64
 #define IDLE_TIMEOUT_MS 1000
-#define CONNECTION_MEMORY_BYTES ((size_t)40 * 1024)
-#define CONNECTION_LIMIT 4096U
+/* After this time without a further one, crowding is over. */
+#define CROWDED_US (5 * BF_US_PER_S)
 #define CONNECTION_TIMEOUT_S 75U
 #define RETRY_BURST 10
 /* Age of a call from which on the caller's connection is watched. */
@@ -53,8 +55,10 @@
 		MHD_OPTION_LISTEN_SOCKET, server->listen_fd,
 		MHD_OPTION_URI_LOG_CALLBACK, bf_call_new, server,
 		MHD_OPTION_NOTIFY_COMPLETED, bf_call_handle_completion, server,
-		MHD_OPTION_CONNECTION_MEMORY_LIMIT, CONNECTION_MEMORY_BYTES,
-		MHD_OPTION_CONNECTION_LIMIT, CONNECTION_LIMIT,
+		MHD_OPTION_CONNECTION_MEMORY_LIMIT, BF_SERVER_CONNECTION_BYTES,
+		MHD_OPTION_CONNECTION_LIMIT,
+		(unsigned int)server->conns.max + BF_CONNS_SPARE,
+		MHD_OPTION_NOTIFY_CONNECTION, bf_conns_notify, &server->conns,
 		MHD_OPTION_CONNECTION_TIMEOUT, CONNECTION_TIMEOUT_S,
 		MHD_OPTION_STRICT_FOR_CLIENT, 1, MHD_OPTION_END);
 	if (server->daemon == NULL)
@@ -122,13 +126,19 @@
 		worker->servers[i].worker = worker;
 		worker->servers[i].hop = hops[i];
 		worker->servers[i].listen_fd = listen_fds[i];
+		bf_conns_init(&worker->servers[i].conns,
+		    proxy->options.connections_max /
+			(i == 0 ? BF_CONNS_ENTRY_DIVISOR
+				: BF_CONNS_TARGET_DIVISOR) /
+			proxy->options.threads);
 	}
 	worker->shard = bf_counters_add_shard(proxy->options.counters);
 	if (worker->shard == NULL)
 		return bf_error_set(err, BF_ERR_MEMORY,
 		    "out of memory allocating a worker's counters");
 	if (!open_random(worker) || !open_event_loop(worker) ||
-	    !bf_client_open(&worker->client, worker->epoll_fd))
+	    !bf_client_open(&worker->client, worker->epoll_fd,
+		proxy->options.connections_max / proxy->options.threads / 2))
 		return bf_error_set(err, BF_ERR_IO,
 		    "cannot create a worker's event loop: %s", strerror(errno));
 	for (i = 0; i < BF_HOPS; i++) {
@@ -256,6 +266,9 @@
 			continue;
 		worker->servers[i].due = false;
 		MHD_run(worker->servers[i].daemon);
+		if (worker->servers[i].conns.ended)
+			worker->servers[i].due = true;
+		worker->servers[i].conns.ended = false;
 		ran = true;
 	}
 	return ran;
@@ -361,6 +374,51 @@
 	worker->client.connections_opened = 0;
 }
 
+/* Logs when connections begin or cease to be closed for others. */
+static void
+note_crowding(bf_worker_t *worker, uint64_t closed, bf_time_us_t now_us)
+{
+	bf_log_t *log = worker->proxy->options.log;
+
+	if (closed > 0) {
+		bf_worker_count(worker, BF_METRIC_CLOSED_FOR_OTHERS, closed);
+		worker->closed_for_others += closed;
+		worker->crowded_us = now_us;
+		if (!worker->crowded && log != NULL)
+			bf_log_line(log, LOG_WARNING,
+			    "worker %u has no connection left: those that "
+			    "stand still are closed for others",
+			    (unsigned int)worker->index);
+		worker->crowded = true;
+	} else if (worker->crowded &&
+	    now_us - worker->crowded_us > CROWDED_US) {
+		worker->crowded = false;
+		if (log != NULL)
+			bf_log_line(log, LOG_NOTICE,
+			    "worker %u has connections left again; %" PRIu64
+			    " were closed for others",
+			    (unsigned int)worker->index,
+			    worker->closed_for_others);
+		worker->closed_for_others = 0;
+	}
+}
+
+static void
+make_room(bf_worker_t *worker, bf_time_us_t now_us)
+{
+	uint64_t closed = 0;
+	bf_conns_t *conns;
+	int i;
+
+	for (i = 0; i < BF_HOPS; i++) {
+		conns = &worker->servers[i].conns;
+		bf_conns_make_room(conns, now_us);
+		closed += conns->closed_for_others;
+		conns->closed_for_others = 0;
+	}
+	note_crowding(worker, closed, now_us);
+}
+
 static void
 stop_servers(bf_worker_t *worker)
 {
@@ -444,6 +502,7 @@
 			    events[i].events, now_us);
 		watch_long_calls(worker, now_us);
 		next_us = run_round(worker);
+		make_room(worker, now_us);
 		count_connections(worker);
 	}
 	stop_servers(worker);
--- a/proxy/worker.h
+++ b/proxy/worker.h
@@ -9,6 +9,7 @@
 #include <microhttpd.h>
 
 #include "proxy/client.h"
+#include "proxy/connections.h"
 #include "proxy/metrics.h"
 #include "proxy/proxy.h"
 #include "proxy/served_target.h"
@@ -34,6 +35,7 @@
 	const struct bf_hop *hop;
 	int listen_fd; /* -1: none */
 	struct MHD_Daemon *daemon;
+	bf_conns_t conns;
 	bool due; /* MHD_run must be called */
 } bf_server_t;
 
@@ -57,6 +59,9 @@
 	struct bf_call_list scheduled; /* to be advanced */
 	struct bf_call_list unwatched; /* see bf_call_watch; oldest first */
 	struct bf_call_list waiting;   /* for a slot, oldest first */
+	bool crowded; /* connections were closed for others lately */
+	bf_time_us_t crowded_us;
+	uint64_t closed_for_others;
 	_Atomic uint64_t in_flight;
 	_Atomic uint32_t waiting_count;
 	_Atomic bool stop;
--- a/settings/settings.c
+++ b/settings/settings.c
@@ -110,6 +110,7 @@
 	    bf_name_valid, NAME_EXPECTED),
 	REQUIRED("region", NODE(node.region), bf_name_valid, NAME_EXPECTED),
 	NUMBER("threads", NODE(node.threads), 1, 64),
+	NUMBER("memory_mb", NODE(node.memory_mb), 0, 1U << 20),
 };
 
 static const bf_field_t caller_fields[] = {
--- a/settings/settings.h
+++ b/settings/settings.h
@@ -32,6 +32,7 @@
 		const char *availability_zone;
 		const char *region;
 		uint32_t threads;
+		uint32_t memory_mb; /* of the instance; 0: not stated */
 	} node;
 	struct {
 		const char *listen;
