Map buffers of 32 KB and more separately

Cause: a body that grows by doubling leaves freed blocks of up to 64 KB in the heap, which the budget does not count, once for each connection.

Why it works: such blocks are returned to the system when they are freed, so the heap holds at most blocks below 32 KB.

--- a/memory/budget.h
+++ b/memory/budget.h
@@ -25,7 +25,7 @@
  * resident.  The process sets it as M_MMAP_THRESHOLD, as glibc raises its own
  * default when such a block is freed.
  */
-#define BF_MEMORY_MAPPED_BYTES ((size_t)131072)
+#define BF_MEMORY_MAPPED_BYTES ((size_t)32768)
 
 typedef enum bf_memory_side {
 	BF_MEMORY_CALLERS, /* requests of callers and answers to them */
