Log a crowd of clients once a second, not by its size

Operators saw body-refused lines, at most ten a second, and nothing that says that a crowd is there, since when, or how much it was refused.

Change: mesh/crowd.c tells a crowd from single refusals; a crowd line when it begins, each second and when it ends, which basilctl explain shows around a call.

--- a/ctl/explain.c
+++ b/ctl/explain.c
@@ -178,8 +178,8 @@
 	static const char *const events[] = { "started", "stopping", "stopped",
 		"settings", "store-up", "store-down", "peer-up", "peer-down",
 		"peer-gone", "member", "target", "config", "config-refused",
-		"entry-refused", "move", "frame-late", "listener", "stall",
-		"dropped" };
+		"entry-refused", "move", "frame-late", "crowd", "listener",
+		"stall", "dropped" };
 	size_t i;
 
 	if (line->time_us < scope->first_us - CONTEXT_BEFORE_US ||
--- a/daemons/basilmeshd.c
+++ b/daemons/basilmeshd.c
@@ -29,6 +29,7 @@
 #define SETTINGS_POLL_INTERVAL_US (2 * BF_US_PER_S)
 #define METRICS_HEAD_BYTES_MAX 8192
 #define METRICS_TIMEOUT_US (60 * BF_US_PER_S)
+#define METRICS_CONNECTIONS_MAX 16
 
 /* Exit codes; see basilmeshd(8). */
 #define EXIT_INVALID_SETTINGS 2
@@ -197,6 +198,7 @@
 		return BF_OK;
 	address = parse_address(settings->metrics.listen);
 	meshd->metrics_server.vtable = &metrics_vtable;
+	meshd->metrics_server.conn_max = METRICS_CONNECTIONS_MAX;
 	meshd->metrics_server.limits = (bf_http_limits_t){
 		.head_bytes = METRICS_HEAD_BYTES_MAX,
 		.head_timeout_us = METRICS_TIMEOUT_US,
--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -1263,6 +1263,42 @@
 	free_call(call);
 }
 
+/* While a crowd is there, it is logged once a second. */
+static void
+log_crowd(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
+{
+	bf_event(mesh->events, BF_EVENT_CROWD, now_us,
+	    "s:s,s:I,s:i,s:i,s:I,s:I", "change", change, "refused",
+	    (json_int_t)mesh->crowd.count, "connections",
+	    (int)mesh->caller_server.conn_count, "connections_max",
+	    (int)mesh->caller_server.conn_max, "held_bytes",
+	    (json_int_t)mesh->memory.held_bytes, "limit_bytes",
+	    (json_int_t)mesh->memory.limit_bytes);
+}
+
+static void
+on_crowd_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	bf_mesh_t *mesh = BF_CONTAINER(timer, bf_mesh_t, crowd_timer);
+
+	if (bf_crowd_end(&mesh->crowd, now_us)) {
+		log_crowd(mesh, "ends", now_us);
+		return;
+	}
+	log_crowd(mesh, "lasts", now_us);
+	bf_loop_timer_set(mesh->loop, timer, now_us + BF_US_PER_S);
+}
+
+static void
+note_crowd(bf_mesh_t *mesh, bf_time_us_t now_us)
+{
+	if (!bf_crowd_add(&mesh->crowd, now_us))
+		return;
+	log_crowd(mesh, "begins", now_us);
+	mesh->crowd_timer.fire = on_crowd_timer;
+	bf_loop_timer_set(mesh->loop, &mesh->crowd_timer, now_us + BF_US_PER_S);
+}
+
 static void
 on_body_refused(bf_http_server_t *server, bf_http_refusal_t reason,
     const struct sockaddr_in *from, bf_time_us_t now_us)
@@ -1278,6 +1314,7 @@
 	    "reason", names[reason], "from", address, "held_bytes",
 	    (json_int_t)mesh->memory.held_bytes, "limit_bytes",
 	    (json_int_t)mesh->memory.limit_bytes);
+	note_crowd(mesh, now_us);
 }
 
 static const bf_http_server_vtable_t callers_vtable = {
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -14,6 +14,7 @@
 #include "mesh/body_pull.h"
 #include "mesh/call_queue.h"
 #include "mesh/caps.h"
+#include "mesh/crowd.h"
 #include "mesh/link.h"
 #include "mesh/mesh.h"
 #include "mesh/move_history.h"
@@ -455,6 +456,8 @@
 	bf_machine_t machine;
 	bf_memory_budget_t memory; /* what others make the process hold */
 	bf_http_server_t caller_server;
+	bf_crowd_t crowd; /* at the callers' listener */
+	bf_timer_t crowd_timer;
 	bf_listener_t peer_listener;
 	bf_listener_observer_t listener_observer; /* of all listeners */
 
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -225,6 +225,7 @@
 	bf_http_client_reset(&mesh->target.client);
 	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry_timer);
 	bf_loop_timer_cancel(mesh->loop, &mesh->stop_timer);
+	bf_loop_timer_cancel(mesh->loop, &mesh->crowd_timer);
 	bf_movement_stop(mesh);
 	bf_routing_release(mesh->routing);
 	bf_bytes_free(&mesh->config);
--- a/observe/events.c
+++ b/observe/events.c
@@ -57,6 +57,7 @@
 	[BF_EVENT_UNCLAIMED] = { "unclaimed", 20 },
 	[BF_EVENT_FRAME_LATE] = { "frame-late", 10 },
 	[BF_EVENT_BODY_REFUSED] = { "body-refused", 10 },
+	[BF_EVENT_CROWD] = { "crowd", 10 },
 	[BF_EVENT_LISTENER] = { "listener", 10 },
 	[BF_EVENT_STALL] = { "stall", 10 },
 	[BF_EVENT_CAPS] = { "caps", 20 },
--- a/observe/events.h
+++ b/observe/events.h
@@ -45,6 +45,7 @@
 	/* A frame waited long for its link or its reader. */
 	BF_EVENT_FRAME_LATE,
 	BF_EVENT_BODY_REFUSED, /* entry node: a body took too much memory */
+	BF_EVENT_CROWD,        /* many bodies and connections are refused */
 	BF_EVENT_LISTENER,     /* accepts no connections, or does again */
 	BF_EVENT_STALL,        /* an iteration of the event loop took long */
 	BF_EVENT_CAPS,         /* this node's part in sharing usage caps */
--- a/tests/e2e_crowds.c
+++ b/tests/e2e_crowds.c
@@ -327,10 +327,12 @@
 static void
 fill_large_chunk(void)
 {
-	memcpy(large_chunk, LARGE_CHUNK_HEAD, strlen(LARGE_CHUNK_HEAD));
-	memset(large_chunk + strlen(LARGE_CHUNK_HEAD), 'x', LARGE_CHUNK_BYTES);
-	memcpy(large_chunk + strlen(LARGE_CHUNK_HEAD) + LARGE_CHUNK_BYTES,
-	    "\r\n", 2);
+	const size_t head_bytes = strlen(LARGE_CHUNK_HEAD);
+
+	(void)g_strlcpy(large_chunk, LARGE_CHUNK_HEAD, sizeof(large_chunk));
+	memset(large_chunk + head_bytes, 'x', LARGE_CHUNK_BYTES);
+	large_chunk[head_bytes + LARGE_CHUNK_BYTES] = '\r';
+	large_chunk[head_bytes + LARGE_CHUNK_BYTES + 1] = '\n';
 }
 
 int
