Test a crowd of kept connections, describe the limits

A crowd whose clients send one request a second on a kept connection, in e2e_crowds: it failed on (256 descriptors), and passes (212 of 256, an ordinary call is answered). A connection that is to close frees what was left unparsed at once.

--- a/http/server.c
+++ b/http/server.c
@@ -590,7 +590,7 @@
 	conn->began_us = 0;
 	bf_memory_body_end(&conn->body);
 	bf_http_reader_clear(&conn->reader);
-	bf_bytes_clear(&conn->unparsed);
+	bf_bytes_free(&conn->unparsed);
 	bf_memory_charge_set(&conn->unparsed_charge, 0);
 	bf_tcp_resume(&conn->tcp);
 }
--- a/tests/e2e_crowds.c
+++ b/tests/e2e_crowds.c
@@ -34,6 +34,10 @@
 #define CHUNKED "Transfer-Encoding: chunked\r\n\r\n"
 #define SMALL_CHUNK "4\r\nxxxx\r\n"
 
+#define REQUEST                                    \
+	"GET /crowd HTTP/1.1\r\nHost: " NODES_HOST \
+	"\r\nRequest-Id: again\r\n\r\n"
+
 #define UNIT(text) .unit = (text), .unit_bytes = sizeof(text) - 1
 
 /* A chunk of 64 KB, filled when the test starts. */
@@ -103,6 +107,12 @@
 	    UNIT("GET /none HTTP/1.1\r\nHost: none.test\r\n\r\n"),
 	    .bytes = BODY_BYTES_MAX,
 	    .ignores_answers = true },
+	{ .name = "kept-connections",
+	    .head = "",
+	    UNIT(REQUEST),
+	    .bytes = BODY_BYTES_MAX,
+	    .piece_bytes = sizeof(REQUEST) - 1,
+	    .pause_ms = 1000 },
 	{ .name = "pipelined",
 	    .head = "",
 	    UNIT("GET /crowd HTTP/1.1\r\nHost: " NODES_HOST
