--- a/http/server.h
+++ b/http/server.h
@@ -21,7 +21,8 @@
 	BF_HTTP_REFUSAL_SLOW,
 	BF_HTTP_REFUSAL_TOO_LONG,
 	BF_HTTP_REFUSAL_UNREAD,
-	BF_HTTP_REFUSAL_CROWDED
+	BF_HTTP_REFUSAL_CROWDED,
+	BF_HTTP_REFUSAL_COUNT
 } bf_http_refusal_t;
 
 typedef struct bf_http_server_vtable {
--- a/tests/test_http.c
+++ b/tests/test_http.c
@@ -313,7 +313,7 @@
 	uint32_t requests;
 	uint32_t abandoned;
 	bool early; /* answer before the body is read */
-	uint32_t refused[BF_HTTP_REFUSAL_UNREAD + 1];
+	uint32_t refused[BF_HTTP_REFUSAL_COUNT];
 	uint32_t ended;
 	bf_http_result_t result;
 	uint32_t status;
