Begin no call on a connection that is shut down

Callers could see: a call refused as not run that then ran. Read, not seen.

Cause: after shutdown(2) the bytes that had arrived are still read. If they complete the request of a connection that has just been closed for another one, libmicrohttpd hands it over, behind the refusal that was sent.

Change: the call is not begun; libmicrohttpd closes the connection. No test shows the case: the bytes must arrive between two system calls of the worker. test_proxy and slow-bodies of e2e_noded_crowds pass.

--- a/proxy/call.c
+++ b/proxy/call.c
@@ -363,6 +363,9 @@
 	(void)version;
 	if (call == NULL)
 		return MHD_NO;
+	/* It was refused when the connection was shut down. */
+	if (call->conn != NULL && call->conn->closing)
+		return MHD_NO;
 	if (!call->head_checked)
 		open_call(call, method);
 	if (*upload_data_size > 0)
