State where the reserve of descriptors is too small

The constants of memory/connections.c and mesh/crowd.c say where they come from.

Run on this commit: build, formatter, test_connections, test_crowd, test_http, test_listener, outer_names.

--- a/memory/connections.c
+++ b/memory/connections.c
@@ -1,12 +1,15 @@
 #include "memory/connections.h"
 
+/* Of 4,100, more than a node takes in a mesh of 300; see docs/CAPACITY.md. */
 #define RESERVE_DIVISOR 4
 #define RESERVE_MIN 64
 /* A process with so few descriptors still serves someone. */
 #define CONNECTIONS_MIN 8
 /* No machine needs more; it bounds the backlog's share and the sweep. */
 #define CONNECTIONS_LIMIT 65536
+/* Half is the memory budget's; an eighth is left for the process itself. */
 #define MEMORY_EIGHTHS 3
+/* As BF_CONNECTION_BYTES counts it. */
 #define BACKLOG_DIVISOR 4
 #define BACKLOG_MIN 64
 #define BACKLOG_MAX 1024
--- a/mesh/crowd.c
+++ b/mesh/crowd.c
@@ -1,6 +1,6 @@
 #include "mesh/crowd.h"
 
-/* Refusals in one window that a crowd begins with. */
+/* Refusals in one window; a few clients that retry cause fewer. */
 #define REFUSALS_MIN 16
 #define WINDOW_US BF_US_PER_S
 /* Clients that were refused come back within seconds. */
