Take every account name that a header field can carry

Cause: decode.c allowed names of up to 63 visible characters; a space made the whole configuration be refused. Evidence: config-refused "the name of an account is not of printable characters" on all nodes; so neither a lost watch nor a kept connection is the reason.

Change: mesh/names.c says what a header field, a key and a path may be. A name may have any length; an account's priority above 255 counts as 255, the last rank. Names with control characters or spaces at an end are refused still, as a target would read another name.

Failed before: test_platform account-names ("Rajkot Counter", range).

--- /dev/null
+++ b/mesh/names.h
@@ -0,0 +1,32 @@
+#ifndef BF_MESH_NAMES_H
+#define BF_MESH_NAMES_H
+
+#include <stdbool.h>
+
+/*
+ * What the texts in a configuration may contain.  Decoders check them here, so
+ * that no later user of a text has to refuse it.
+ */
+
+/*
+ * Of the name of a service or of a version of it, with its NUL.  A longer
+ * service could not be moved: a key of the store has 200 bytes at most.
+ */
+#define BF_SERVICE_BYTES 256
+/* Of a host name, with its NUL (RFC 1035, 2.3.4). */
+#define BF_HOST_BYTES 256
+
+/*
+ * Whether a text arrives unchanged as the value of a header field: not empty,
+ * no control characters but tabs, no space or tab at either end (RFC 9110,
+ * 5.5).
+ */
+bool bf_name_is_field_value(const char *text);
+
+/* Whether a text can be sent as a bearer key: a field value without spaces. */
+bool bf_name_is_key(const char *text);
+
+/* Whether a text is the path of a request: "/..." of visible ASCII. */
+bool bf_name_is_path(const char *text);
+
+#endif
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -203,6 +203,39 @@
 	bf_routing_release(routing);
 }
 
+/*
+ * All nodes refused a configuration for the name of an account that is a legal
+ * value of a header field, and served the keys that it had taken away.
+ */
+static void
+test_account_names(void)
+{
+	char *long_name = g_strnfill(600, 'n');
+	const char *names[] = { "Rajkot Counter", "a, \xc3\xa9\\tb",
+		"\\\"q\\\"", long_name };
+	const bf_account_t *account;
+	bf_routing_t *routing;
+	bf_error_t err;
+	char *text;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(names); i++) {
+		g_test_message("name \"%s\"", names[i]);
+		text = g_strdup_printf(ACCOUNTS("{\"Name\":\"%s\",\"ApiKeys\":["
+						"\"k\"],\"Priority\":256}"),
+		    names[i]);
+		g_assert_cmpint(decode(text, &routing, &err), ==, BF_OK);
+		account = bf_account_directory_authenticate(
+		    bf_routing_accounts(routing), "k");
+		g_assert_nonnull(account);
+		g_assert_cmpuint(
+		    account->priority, ==, BF_ACCOUNT_PRIORITY_MAX);
+		bf_routing_release(routing);
+		g_free(text);
+	}
+	g_free(long_name);
+}
+
 /*
  * A configuration with a fault in its accounts is refused whole, and the
  * message, which is logged, holds no key.
@@ -486,6 +519,7 @@
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/config-refused", test_config_refused);
 	g_test_add_func("/platform/accounts", test_accounts);
+	g_test_add_func("/platform/account-names", test_account_names);
 	g_test_add_func("/platform/accounts-refused", test_accounts_refused);
 	g_test_add_func("/platform/config-cut", test_config_cut);
 	g_test_add_func("/platform/order", test_order);
