Do not prove a configuration by a read that showed a newer one

Cause: bf_mesh_freshness_read_done took every read as a proof of the own version, also one whose configuration had just been refused; later watches are empty and prove it again. Evidence: on config-refused is followed by no "keys refused" line in 9 s, with a watch every 0.75 s.

Change: freshness/ keeps the newest version that the store holds and the node cannot read (the next after its own if none can be told). Reads prove that one, so the node is behind, refuses keys after a quarter of revoke_ms and no longer proves anything to others. A readable value in the store takes this back. config-refused states the version; bf_freshness has unread_version.

test_mesh_keys change expected the keys of the version before to be served after a refused one, for which fail_closed has no room: it expects 503 now, that the version before stays in force and that public routes are served.

Failed before: test_mesh_keys unread-config (200, 503 expected), run with bf_freshness_newest_version returning the own version. Passes now, with the rest of test_mesh_keys and test_freshness (unread).

--- a/freshness/freshness.c
+++ b/freshness/freshness.c
@@ -133,6 +133,8 @@
 {
 	bf_reading_t lacked = freshness->lacked;
 
+	if (own_version >= freshness->unread_version)
+		freshness->unread_version = 0;
 	if (!freshness->is_behind)
 		return;
 	if (own_version < lacked.config_version) {
@@ -147,6 +149,35 @@
 	(void)bf_freshness_take(freshness, &lacked, own_version, now_us);
 }
 
+void
+bf_freshness_config_unread(
+    bf_freshness_t *freshness, uint64_t version, uint64_t own_version)
+{
+	if (version == 0)
+		version = own_version + 1;
+	if (version > own_version && version > freshness->unread_version)
+		freshness->unread_version = version;
+}
+
+void
+bf_freshness_config_read(bf_freshness_t *freshness)
+{
+	if (freshness->unread_version == 0)
+		return;
+	freshness->unread_version = 0;
+	/* Peers that have another one will say so again. */
+	freshness->is_behind = false;
+}
+
+uint64_t
+bf_freshness_newest_version(
+    const bf_freshness_t *freshness, uint64_t own_version)
+{
+	return own_version > freshness->unread_version
+	    ? own_version
+	    : freshness->unread_version;
+}
+
 bf_time_us_t
 bf_freshness_age_us(const bf_freshness_t *freshness, bf_time_us_t now_us)
 {
--- a/freshness/freshness.h
+++ b/freshness/freshness.h
@@ -24,7 +24,7 @@
 	uint64_t era;      /* of the store; rises when it lost writes */
 	uint64_t revision; /* of the store */
 	bf_time_us_t as_of_us;
-	/* The newest configuration that the node which read it accepted. */
+	/* The newest configuration that the node which read it knows of. */
 	uint64_t config_version;
 } bf_reading_t;
 
@@ -50,6 +50,11 @@
 	/* The first version that is lacked still, and since when. */
 	uint64_t behind_version;
 	bf_time_us_t behind_since_us;
+	/*
+	 * A newer version that the store holds and this node cannot read; 0:
+	 * there is none.
+	 */
+	uint64_t unread_version;
 	bf_freshness_ask_t asks[BF_FRESHNESS_ASKS_MAX]; /* a ring */
 	uint32_t next_ask;
 	uint64_t last_number;
@@ -96,6 +101,19 @@
 void bf_freshness_config_applied(
     bf_freshness_t *freshness, uint64_t own_version, bf_time_us_t now_us);
 
+/*
+ * The store holds a configuration that this node cannot read.  version 0:
+ * unknown; it counts as the next one after own_version.
+ */
+void bf_freshness_config_unread(
+    bf_freshness_t *freshness, uint64_t version, uint64_t own_version);
+/* The store holds one that it can read, which may be the one in force here. */
+void bf_freshness_config_read(bf_freshness_t *freshness);
+
+/* The newest version that this node knows to be in the store. */
+uint64_t bf_freshness_newest_version(
+    const bf_freshness_t *freshness, uint64_t own_version);
+
 /*
  * Begins a round of questions.  Returns whom to ask, of bf_freshness_asked_t;
  * 0: nobody.
--- a/fuzz/fuzz_platform.c
+++ b/fuzz/fuzz_platform.c
@@ -22,11 +22,12 @@
 	bf_move_outcome_t outcome;
 	bf_heartbeat_t heartbeat;
 	bf_move_order_t order;
+	uint64_t version;
 	bf_error_t err;
 
 	apr_initialize();
-	if (dialect->decode_config(data, data_bytes, NULL, &routing, &err) ==
-	    BF_OK)
+	if (dialect->decode_config(
+		data, data_bytes, NULL, &routing, &version, &err) == BF_OK)
 		bf_routing_release(routing);
 	(void)dialect->decode_order(data, data_bytes, &order, &err);
 	(void)dialect->decode_outcome(data, data_bytes, &outcome, &err);
--- a/mesh/config_source.c
+++ b/mesh/config_source.c
@@ -208,6 +208,7 @@
 	bf_mesh_t *mesh = peer->mesh;
 	bf_bytes_t whole = { 0 };
 	bf_digest_t base_digest;
+	uint64_t version;
 	bool is_delta;
 
 	is_delta = bf_wire_read_uint(reader, 1) != 0;
@@ -215,8 +216,8 @@
 	if (reader->code != BF_OK)
 		return;
 	if (!is_delta) {
-		bf_config_source_apply(mesh, frame->body, frame->body_bytes,
-		    peer->instance, now_us);
+		(void)bf_config_source_apply(mesh, frame->body,
+		    frame->body_bytes, peer->instance, &version, now_us);
 		return;
 	}
 	/*
@@ -227,8 +228,8 @@
 		return;
 	if (bf_delta_apply(&mesh->config, frame->body, frame->body_bytes,
 		CONFIG_BYTES_MAX, &whole) == BF_OK)
-		bf_config_source_apply(mesh, bf_bytes_data(&whole),
-		    bf_bytes_count(&whole), peer->instance, now_us);
+		(void)bf_config_source_apply(mesh, bf_bytes_data(&whole),
+		    bf_bytes_count(&whole), peer->instance, &version, now_us);
 	else
 		bf_event(mesh->events, BF_EVENT_CONFIG_REFUSED, now_us,
 		    "s:s,s:s,s:s,s:I", "from", peer->instance, "error",
@@ -270,39 +271,52 @@
 	send_wanted(mesh, now_us);
 }
 
-void
+bool
 bf_config_source_apply(bf_mesh_t *mesh, const void *data, size_t bytes,
-    const char *from, bf_time_us_t now_us)
+    const char *from, uint64_t *version, bf_time_us_t now_us)
 {
 	bf_routing_t *routing = NULL;
-	uint64_t version, before;
+	uint64_t before;
 	bf_error_t err;
 
+	*version = 0;
 	if (mesh->routing != NULL && bytes == bf_bytes_count(&mesh->config) &&
 	    memcmp(data, bf_bytes_data(&mesh->config), bytes) == 0)
-		return;
+		return true;
 	if (mesh->dialect->decode_config(
-		data, bytes, mesh->routing, &routing, &err) != BF_OK) {
+		data, bytes, mesh->routing, &routing, version, &err) != BF_OK) {
 		bf_event(mesh->events, BF_EVENT_CONFIG_REFUSED, now_us,
-		    "s:s,s:s,s:s,s:I", "from", from, "error",
-		    bf_code_name(err.code), "message", err.message, "bytes",
-		    (json_int_t)bytes);
-		return;
+		    "s:s,s:I,s:s,s:s,s:I", "from", from, "version",
+		    (json_int_t)*version, "error", bf_code_name(err.code),
+		    "message", err.message, "bytes", (json_int_t)bytes);
+		return false;
 	}
-	version = bf_routing_version(routing);
 	before = mesh->routing != NULL ? bf_routing_version(mesh->routing) : 0;
-	if (version <= before) {
+	if (*version <= before) {
 		bf_routing_release(routing);
-		return;
+		return true;
 	}
 	activate_config(mesh, routing, data, bytes, now_us);
 	bf_event(mesh->events, BF_EVENT_CONFIG, now_us, "s:I,s:I,s:s,s:I",
-	    "version", (json_int_t)version, "before", (json_int_t)before,
+	    "version", (json_int_t)*version, "before", (json_int_t)before,
 	    "from", from, "routes",
 	    (json_int_t)bf_routing_route_count(routing));
 	if (mesh->relay)
 		send_config_to_zone(mesh, now_us);
 	bf_mesh_report_changes(mesh, now_us);
+	return true;
+}
+
+static void
+apply_stored_config(
+    bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
+{
+	uint64_t version;
+	bool is_readable;
+
+	is_readable = bf_config_source_apply(
+	    mesh, item->data, item->data_bytes, "store", &version, now_us);
+	bf_mesh_freshness_stored_config(mesh, is_readable, version);
 }
 
 static void
@@ -316,8 +330,7 @@
 	if (item->deleted)
 		return;
 	if (strcmp(item->key, dialect->config_key) == 0)
-		bf_config_source_apply(
-		    mesh, item->data, item->data_bytes, "store", now_us);
+		apply_stored_config(mesh, item, now_us);
 	else if (strncmp(item->key, dialect->order_prefix,
 		     strlen(dialect->order_prefix)) == 0)
 		bf_movement_apply_order(mesh, item, now_us);
--- a/mesh/dialect.h
+++ b/mesh/dialect.h
@@ -35,11 +35,12 @@
 	/* Decoders; they fail for an incomplete or invalid value. */
 	/*
 	 * previous: a configuration of which the new one may take over what
-	 * both have in common; NULL: none.
+	 * both have in common; NULL: none.  version: set also on a failure, to
+	 * 0 if it could not be read.
 	 */
 	bf_code_t (*decode_config)(const void *data, size_t bytes,
 	    const bf_routing_t *previous, bf_routing_t **routing,
-	    bf_error_t *err);
+	    uint64_t *version, bf_error_t *err);
 	bf_code_t (*decode_order)(const void *data, size_t bytes,
 	    bf_move_order_t *order, bf_error_t *err);
 	bf_code_t (*decode_outcome)(const void *data, size_t bytes,
--- a/mesh/freshness.c
+++ b/mesh/freshness.c
@@ -119,7 +119,8 @@
 	bf_reading_t reading = {
 		.era = mesh->kv->era,
 		.revision = reply->revision,
-		.config_version = own_version(mesh),
+		.config_version = bf_freshness_newest_version(
+		    &freshness->state, own_version(mesh)),
 	};
 
 	if (!freshness->is_reading || mesh->routing == NULL)
@@ -251,6 +252,18 @@
 	}
 }
 
+void
+bf_mesh_freshness_stored_config(
+    bf_mesh_t *mesh, bool is_readable, uint64_t version)
+{
+	bf_freshness_t *state = &mesh->freshness->state;
+
+	if (is_readable)
+		bf_freshness_config_read(state);
+	else
+		bf_freshness_config_unread(state, version, own_version(mesh));
+}
+
 void
 bf_mesh_freshness_answer(
     bf_inbound_t *inbound, bf_wire_reader_t *reader, bf_time_us_t now_us)
@@ -331,6 +344,8 @@
 
 	if (!is_tracked(mesh))
 		return;
+	bf_metric_set(mesh->metrics.freshness, "unread_version",
+	    mesh->freshness->state.unread_version);
 	bf_metric_set(
 	    mesh->metrics.freshness, "age_microseconds", (uint64_t)age_us);
 	bf_metric_set(mesh->metrics.freshness, "keys_refused",
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -636,9 +636,10 @@
 /*
  * Decodes a configuration and puts it in force if its version is greater than
  * the current one.  from: "store" or the instance that sent it, for the log.
+ * Returns whether it can be read; if not, version is its own or 0.
  */
-void bf_config_source_apply(bf_mesh_t *mesh, const void *data, size_t bytes,
-    const char *from, bf_time_us_t now_us);
+bool bf_config_source_apply(bf_mesh_t *mesh, const void *data, size_t bytes,
+    const char *from, uint64_t *version, bf_time_us_t now_us);
 /* Requests the peer's configuration. */
 void bf_config_source_request(bf_peer_t *peer, bf_time_us_t now_us);
 /*
@@ -661,6 +662,12 @@
 /* It is complete, and what it says was applied. */
 void bf_mesh_freshness_read_done(bf_mesh_t *mesh, bool is_watch,
     const bf_kv_reply_t *reply, bf_time_us_t now_us);
+/*
+ * The store holds a configuration, which this node can read or not.  version:
+ * of one that it cannot read; 0: unknown.
+ */
+void bf_mesh_freshness_stored_config(
+    bf_mesh_t *mesh, bool is_readable, uint64_t version);
 /* A configuration was put in force. */
 void bf_mesh_freshness_config_applied(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Answers a peer that asks for the present configuration. */
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -47,7 +47,7 @@
 
 static bf_code_t
 decode_config(const void *data, size_t bytes, const bf_routing_t *previous,
-    bf_routing_t **out, bf_error_t *err)
+    bf_routing_t **out, uint64_t *version, bf_error_t *err)
 {
 	char *text = g_strndup(data, bytes), **lines, kind[16], service[64];
 	char cold_service[64] = "", region[64];
@@ -59,19 +59,18 @@
 	bf_routing_t *routing;
 	char prefix[64];
 	bf_code_t code = BF_OK;
-	uint64_t version;
 	int i;
 
 	(void)previous;
 	lines = g_strsplit(text, "\n", -1);
-	version = strtoull(lines[0], NULL, 10);
-	if (version == 0) {
+	*version = strtoull(lines[0], NULL, 10);
+	if (*version == 0) {
 		g_strfreev(lines);
 		g_free(text);
 		return bf_error_set(
 		    err, BF_ERR_PARSE, "the first line is not a version");
 	}
-	routing = bf_routing_new(version);
+	routing = bf_routing_new(*version);
 	bf_routing_set_limits(routing,
 	    &(bf_caller_limits_t){ .head_bytes = 8192,
 		.body_bytes = 1 << 20,
@@ -79,6 +78,8 @@
 		.idle_timeout_ms = 15000 });
 	for (i = 1; code == BF_OK && lines[i] != NULL; i++) {
 		memset(&route, 0, sizeof(route));
+		if (strcmp(lines[i], "unreadable") == 0)
+			code = bf_error_set(err, BF_ERR_PARSE, "unreadable");
 		if (g_str_has_prefix(lines[i], "account ")) {
 			code =
 			    decode_account(routing, &accounts, lines[i], err);
--- a/tests/test_freshness.c
+++ b/tests/test_freshness.c
@@ -293,6 +293,49 @@
 	    bf_freshness_is_overtaken(&freshness, now_us + 9000 * MS));
 }
 
+/*
+ * A configuration that cannot be read is lacked until a readable one follows it
+ * or takes its place.
+ */
+static void
+test_unread(void)
+{
+	static const uint64_t unread[] = { 0, VERSION + 3 };
+	bf_freshness_t freshness;
+	bf_time_us_t now_us = START_US;
+	uint64_t newest;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(unread); i++) {
+		freshness = new_freshness();
+		bf_freshness_config_unread(&freshness, VERSION, VERSION);
+		g_assert_cmpuint(
+		    bf_freshness_newest_version(&freshness, VERSION), ==,
+		    VERSION);
+		bf_freshness_config_unread(&freshness, unread[i], VERSION);
+		newest = bf_freshness_newest_version(&freshness, VERSION);
+		g_assert_cmpuint(newest, ==, VERSION + (i == 0 ? 1 : 3));
+		g_assert_cmpint(take(&freshness, now_us, newest, now_us), ==,
+		    BF_FRESHNESS_BEHIND);
+		g_assert_true(
+		    bf_freshness_is_overtaken(&freshness, now_us + 1251 * MS));
+		/* An older one does not take its place, the next one does. */
+		bf_freshness_config_applied(&freshness, newest - 1, now_us);
+		g_assert_true(freshness.is_behind);
+		bf_freshness_config_applied(&freshness, newest, now_us);
+		g_assert_false(freshness.is_behind);
+		g_assert_cmpuint(freshness.unread_version, ==, 0);
+		bf_freshness_config_unread(&freshness, 0, newest);
+		(void)take(&freshness, now_us, newest + 1, now_us);
+		g_assert_true(freshness.is_behind);
+		bf_freshness_config_read(&freshness);
+		g_assert_false(freshness.is_behind);
+		g_assert_cmpuint(
+		    bf_freshness_newest_version(&freshness, newest), ==,
+		    newest);
+	}
+}
+
 /* The store came back from an old copy: only readings of its new era count. */
 static void
 test_era(void)
@@ -400,6 +443,7 @@
 	g_test_add_func("/freshness/store-silent", test_store_silent);
 	g_test_add_func("/freshness/versions", test_versions);
 	g_test_add_func("/freshness/overtaken", test_overtaken);
+	g_test_add_func("/freshness/unread", test_unread);
 	g_test_add_func("/freshness/era", test_era);
 	g_test_add_func("/freshness/random-chains", test_random_chains);
 	return g_test_run();
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -458,6 +458,7 @@
 	mesh_fixture_t *fixture = fixture_new_with_links(6, 1250000);
 	GString *text = g_string_new(CONFIG);
 	test_call_t calls[5];
+	uint64_t version;
 	uint32_t i;
 
 	fixture_configure(fixture, CONFIG);
@@ -467,8 +468,8 @@
 	text->str[0] = '6';
 	while (text->len < 200000)
 		g_string_append(text, "a line that defines no route\n");
-	bf_config_source_apply(fixture->nodes[0], text->str, text->len, "test",
-	    bf_clock_monotonic_us());
+	(void)bf_config_source_apply(fixture->nodes[0], text->str, text->len,
+	    "test", &version, bf_clock_monotonic_us());
 	for (i = 1; i < 6; i++)
 		bf_config_source_request(
 		    bf_roster_find(fixture->nodes[i], "n0"),
--- a/tests/test_mesh_keys.c
+++ b/tests/test_mesh_keys.c
@@ -290,6 +290,61 @@
 	tear_down(&f);
 }
 
+/* Runs the loop until all nodes answer the key with the status. */
+static void
+await_status(keys_fixture_t *f, const char *key, uint32_t status)
+{
+	bf_time_us_t until_us = bf_clock_monotonic_us() + WAIT_US;
+	uint32_t node;
+
+	for (node = 0; node < NODES; node++) {
+		while (status_of(f, node, key) != status &&
+		    bf_clock_monotonic_us() < until_us)
+			fixture_run(f->mesh, 50 * BF_US_PER_MS);
+		g_assert_cmpuint(status_of(f, node, key), ==, status);
+	}
+}
+
+/*
+ * Nodes that refused a newer configuration took the read that had shown it for
+ * a proof that theirs was in force, and served keys that it had taken away.
+ */
+static void
+test_unread_config(void)
+{
+	static const char *const unread[] = { "6\nunreadable",
+		"not a version" };
+	bf_time_us_t put_us;
+	keys_fixture_t f;
+	uint32_t node;
+	char *next;
+	size_t i;
+
+	set_up(&f);
+	settle_relays(&f);
+	for (i = 0; i < G_N_ELEMENTS(unread); i++) {
+		await_status(&f, "key-two", 200);
+		fixture_put(f.mesh, "ops/config", unread[i]);
+		put_us = bf_clock_monotonic_us();
+		fixture_run(f.mesh, REVOKE_US * 95 / 100);
+		for (node = 0; node < NODES; node++)
+			g_assert_cmpuint(
+			    status_of(&f, node, "key-two"), ==, 503);
+		g_assert_cmpint(
+		    bf_clock_monotonic_us() - put_us, <, 2 * REVOKE_US);
+		/* The one before it is written again, or a newer one. */
+		if (i == 0) {
+			fixture_put(f.mesh, "ops/config", CONFIG);
+		} else {
+			next = g_strdup_printf("7%s", CONFIG + 1);
+			fixture_put(f.mesh, "ops/config", next);
+			g_free(next);
+		}
+	}
+	await_status(&f, "key-two", 200);
+	tear_down(&f);
+}
+
 /*
  * The relays cannot send a new configuration for a long time.  The other nodes
  * learn that there is one, and refuse keys until they have it.
@@ -431,8 +486,8 @@
 
 /*
  * Between versions keys move and accounts lose all of theirs.  A configuration
- * in which two accounts share a key is not applied, and the one before stays
- * in force and is served.
+ * in which two accounts share a key is not applied: the one before stays in
+ * force, but its keys are refused, as they may have been withdrawn.
  */
 static void
 test_keys_change(void)
@@ -451,7 +506,8 @@
 	    f.mesh, "7\n" ROUTES "account first key-b\naccount second key-b");
 	fixture_run(f.mesh, REVOKE_US);
 	g_assert_cmpuint(bf_routing_version(f.mesh->nodes[0]->routing), ==, 6);
-	g_assert_cmpuint(status_of(&f, 0, "key-one"), ==, 200);
+	g_assert_cmpuint(status_of(&f, 0, "key-one"), ==, 503);
+	g_assert_cmpuint(send_call(&f, 0, "/open/x", "m2", "").status, ==, 200);
 	fixture_configure(f.mesh, "8\n" ROUTES "account first\naccount second");
 	fixture_run(f.mesh, BF_US_PER_S / 2);
 	g_assert_cmpuint(status_of(&f, 0, "key-one"), ==, 401);
@@ -490,6 +546,7 @@
 	g_test_add_func("/keys/call-of-target", test_call_of_target);
 	g_test_add_func("/keys/offer-field", test_offer_field);
 	g_test_add_func("/keys/withdrawn", test_withdrawn);
+	g_test_add_func("/keys/unread-config", test_unread_config);
 	g_test_add_func("/keys/slow-push", test_slow_push);
 	g_test_add_func("/keys/cut-from-store", test_cut_from_store);
 	g_test_add_func("/keys/store-gone", test_store_gone);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -29,9 +29,11 @@
 static bf_code_t
 decode(const char *text, bf_routing_t **routing, bf_error_t *err)
 {
+	uint64_t version;
+
 	*routing = NULL;
 	return bf_platform_dialect.decode_config(
-	    text, strlen(text), NULL, routing, err);
+	    text, strlen(text), NULL, routing, &version, err);
 }
 
 static void
@@ -152,6 +154,7 @@
 	const bf_account_t *account;
 	bf_routing_t *routing, *copy = NULL;
 	bf_mesh_route_t *route;
+	uint64_t version;
 	bf_error_t err;
 
 	g_assert_cmpint(decode(text, &routing, &err), ==, BF_OK);
@@ -182,7 +185,7 @@
 
 	/* The same if its routes are taken over from a former version. */
 	g_assert_cmpint(bf_platform_dialect.decode_config(
-			    text, strlen(text), routing, &copy, &err),
+			    text, strlen(text), routing, &copy, &version, &err),
 	    ==, BF_OK);
 	bf_routing_release(routing);
 	route = bf_routing_match(copy, "a.example", "/a/");
@@ -289,12 +292,13 @@
 	static const char text[] =
 	    CONFIG("r17", POLICY("safe", "/a/", TO_SHOP));
 	bf_routing_t *routing = NULL;
+	uint64_t version;
 	bf_error_t err;
 	size_t bytes;
 
 	for (bytes = 0; bytes < sizeof(text) - 1; bytes++)
-		g_assert_cmpint(bf_platform_dialect.decode_config(
-				    text, bytes, NULL, &routing, &err),
+		g_assert_cmpint(bf_platform_dialect.decode_config(text, bytes,
+				    NULL, &routing, &version, &err),
 		    !=, BF_OK);
 }
 
@@ -316,13 +320,14 @@
 	bf_routing_t *previous, *whole, *routing = NULL;
 	bf_mesh_route_t *known, *parsed;
 	const char *paths[] = { "/a/", "/b/", "/c/" };
+	uint64_t version;
 	bf_error_t err;
 	size_t i;
 
 	g_assert_cmpint(decode(first, &previous, &err), ==, BF_OK);
 	g_assert_cmpint(decode(second, &whole, &err), ==, BF_OK);
-	g_assert_cmpint(bf_platform_dialect.decode_config(
-			    second, strlen(second), previous, &routing, &err),
+	g_assert_cmpint(bf_platform_dialect.decode_config(second,
+			    strlen(second), previous, &routing, &version, &err),
 	    ==, BF_OK);
 	/* It must not depend on the previous one any more. */
 	bf_routing_release(previous);
@@ -366,14 +371,16 @@
 	    ",\"Listeners\":[{\"Authority\":\"A.example\",\"Policies\":[" POLICY(
 		"safe", "/a/", TO_SHOP) "]}]}";
 	bf_routing_t *known, *routing = NULL;
+	uint64_t version;
 	bf_error_t err;
 	size_t i;
 
 	g_assert_cmpint(decode(elsewhere, &known, &err), ==, BF_OK);
 	g_assert_cmpuint(bf_routing_route_count(known), ==, 1);
 	for (i = 0; i < G_N_ELEMENTS(refused); i++)
-		g_assert_cmpint(bf_platform_dialect.decode_config(refused[i],
-				    strlen(refused[i]), known, &routing, &err),
+		g_assert_cmpint(
+		    bf_platform_dialect.decode_config(refused[i],
+			strlen(refused[i]), known, &routing, &version, &err),
 		    !=, BF_OK);
 	bf_routing_release(known);
 }
