Move the decisions on the own target into a module

Cause: which heartbeat, announcement or record of the target beside a node counts was decided in target.c, registry.c and restore.c, between sends and log lines, so that the order of events could not be tested without sockets. Change: mesh/presence.{c,h} decide it, with the present time as an argument.

--- a/mesh/entry.c
+++ b/mesh/entry.c
@@ -505,7 +505,7 @@
 		    "on_time", (int)refuse_if_late);
 	peer->offers_since_report++;
 	if (peer->self) {
-		offer.target_id = mesh->target.heartbeat.id;
+		offer.target_id = mesh->target.presence.heartbeat.id;
 		offer.message = call->request->message;
 		bf_target_offer(mesh, NULL, &offer, now_us);
 		return;
--- a/mesh/evacuate.c
+++ b/mesh/evacuate.c
@@ -131,7 +131,7 @@
 		limits.over = options->cold_over_ppm / PPM;
 	if (mesh->routing != NULL)
 		service = bf_routing_service(
-		    mesh->routing, mesh->target.heartbeat.service);
+		    mesh->routing, mesh->target.presence.heartbeat.service);
 	if (service != NULL)
 		limits.calls_per_s = service->cold_calls_per_s;
 	bf_gate_set(&evacuation->gate, is_cold, &limits, now_us);
@@ -215,13 +215,13 @@
 		return;
 	evacuation->was_limited = is_limited;
 	bf_event(mesh->events, BF_EVENT_COLD, now_us, "s:s,s:b,s:s,s:I,s:f",
-	    "target", mesh->target.heartbeat.id, "cold", (int)is_limited, "why",
-	    why, "left_us",
+	    "target", mesh->target.presence.heartbeat.id, "cold",
+	    (int)is_limited, "why", why, "left_us",
 	    (json_int_t)(coldness->warm_at_us > now_us
 		    ? coldness->warm_at_us - now_us
 		    : 0),
 	    "calls_per_s", is_limited ? evacuation->gate.rate_per_s : 0.0);
-	if (mesh->target.state == BF_TARGET_READY)
+	if (mesh->target.presence.state == BF_TARGET_READY)
 		report_load(mesh, now_us);
 	/* Calls may wait for the gate, which is open now. */
 	if (!is_limited && mesh->target.queue.count > 0)
@@ -240,7 +240,7 @@
 bf_evacuation_heartbeat(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_coldness_state(&mesh->evacuation->coldness,
-	    mesh->target.heartbeat.warm_up_remaining_ms * BF_US_PER_MS,
+	    mesh->target.presence.heartbeat.warm_up_remaining_ms * BF_US_PER_MS,
 	    now_us - BF_COLDNESS_HEARTBEAT_AGE_US, now_us);
 	announce_coldness(mesh, "heartbeat", now_us);
 }
@@ -260,7 +260,7 @@
 	uint64_t left_ms;
 
 	if (mesh->dialect->warm_up_ms == NULL || id == NULL ||
-	    strcmp(id, mesh->target.heartbeat.id) != 0)
+	    strcmp(id, mesh->target.presence.heartbeat.id) != 0)
 		return;
 	left_ms = bf_http_number(
 	    bf_http_find(message, mesh->dialect->warm_up_ms), UINT64_MAX);
@@ -308,7 +308,7 @@
 	bf_loop_timer_cancel(mesh->loop, &evacuation->health_timer);
 	evacuation->health.done = on_health;
 	evacuation->health_sent_us = now_us;
-	if (mesh->target.state == BF_TARGET_READY &&
+	if (mesh->target.presence.state == BF_TARGET_READY &&
 	    bf_target_send_health_check(mesh, &evacuation->health, now_us))
 		bf_loop_timer_set(mesh->loop, &evacuation->health_timer,
 		    now_us + HEALTH_TIMEOUT_US);
--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -256,14 +256,9 @@
 
 #define BF_CANCELLED_OFFERS_MAX 128
 
-/*
- * The target beside this node, as last announced by its heartbeats.  A lifetime
- * of a target is identified by its id and the start time of its process.
- */
+/* The target beside this node. */
 typedef struct bf_own_target {
-	bf_heartbeat_t heartbeat; /* the last one that was accepted */
-	bf_target_state_t state;
-	bf_time_us_t heartbeat_at_us;
+	bf_presence_t presence;
 	bf_time_us_t warm_at_us; /* end of its warm-up: runs are timed then */
 
 	/* The target of a restored record, which is not known to be ready. */
@@ -272,17 +267,6 @@
 	bf_time_us_t health_sent_us;
 	bf_timer_t health_timer;
 
-	/*
-	 * A target that announced its departure gets no calls for the rest of
-	 * its lifetime.
-	 */
-	bool departed; /* the target of the last heartbeat did so */
-	/* Last target that did so, also to a former process of this node. */
-	char departed_id[BF_NAME_BYTES];
-	uint64_t departed_start_ms;  /* start time of its process */
-	bool departed_start_unknown; /* departed_start_ms is not set */
-	bf_time_us_t departed_at_us; /* when this process learned of it */
-
 	bf_http_client_t client;
 	bf_call_queue_t queue;
 	bf_capacity_t capacity; /* used with learn_capacity */
@@ -301,8 +285,7 @@
 typedef struct bf_recorded_target {
 	bf_heartbeat_t heartbeat;
 	bool draining;
-	char departed_id[BF_NAME_BYTES];
-	uint64_t departed_start_ms;
+	bf_departure_t departure;
 } bf_recorded_target_t;
 
 /* Targets of a version that was rolled back are gone some seconds later. */
@@ -765,17 +748,18 @@
 
 /* mesh/target.c: calls at the target beside this node. */
 void bf_target_open(bf_mesh_t *mesh);
-/*
- * Takes over what a heartbeat says, but not the state of the target.  Fails as
- * bf_mesh_heartbeat does; accepted: whether it was valid and not outdated.
- */
-bf_code_t bf_target_accept(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
-    bool *accepted, bf_time_us_t now_us, bf_error_t *err);
+/* Whether a heartbeat can be of this node's target; as bf_mesh_heartbeat. */
+bf_code_t bf_target_check_heartbeat(
+    const bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_error_t *err);
+/* Applies what the presence has taken over from a heartbeat or a record. */
+void bf_target_apply_heartbeat(
+    bf_mesh_t *mesh, bool new_lifetime, bf_time_us_t now_us);
 /* Gives the target calls from now on. */
 void bf_target_make_ready(
     bf_mesh_t *mesh, const char *change, bf_time_us_t now_us);
 /* Takes the target out of use if the record of a former process says so. */
-void bf_target_check_departed(bf_mesh_t *mesh, bf_time_us_t now_us);
+void bf_target_restore_departure(
+    bf_mesh_t *mesh, const bf_departure_t *departure, bf_time_us_t now_us);
 /* from: the connection that the offer came by; NULL: it entered here. */
 void bf_target_offer(bf_mesh_t *mesh, bf_inbound_t *from,
     const bf_offer_t *offer, bf_time_us_t now_us);
--- a/mesh/mesh.h
+++ b/mesh/mesh.h
@@ -7,6 +7,7 @@
 #include "http/server.h"
 #include "member/record.h"
 #include "mesh/dialect.h"
+#include "mesh/presence.h"
 #include "net/loop.h"
 #include "observe/events.h"
 #include "observe/metrics.h"
@@ -60,20 +61,6 @@
 	bool reported_speed_only;
 } bf_mesh_options_t;
 
-/* A heartbeat of the target beside this node. */
-typedef struct bf_heartbeat {
-	char id[BF_NAME_BYTES];
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
-	char address[BF_ADDRESS_BYTES];
-	uint32_t slots; /* calls that it runs at once, at most */
-	bool draining;
-	uint32_t warm_up_remaining_ms; /* it is slow until the warm-up ends */
-	uint64_t sequence; /* grows with each heartbeat of one process */
-	/* Start of its process, wall clock; 0: not reported. */
-	uint64_t start_ms;
-} bf_heartbeat_t;
-
 /* options and its texts, dialect, kv, events outlive the mesh. */
 bf_mesh_t *bf_mesh_new(const bf_mesh_options_t *options,
     const bf_dialect_t *dialect, bf_loop_t *loop, bf_kv_t *kv,
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -283,8 +283,8 @@
 	}
 	if (mesh->self->version_unconfirmed)
 		mesh->self->version_unconfirmed = bf_movement_record_version(
-		    mesh, mesh->target.heartbeat.service,
-		    mesh->target.heartbeat.version, 0);
+		    mesh, mesh->target.presence.heartbeat.service,
+		    mesh->target.presence.heartbeat.version, 0);
 }
 
 void
@@ -842,7 +842,7 @@
 		if (tracked->move.state == BF_MOVE_ACTIVE &&
 		    now_us >= mesh->send_runs_after_us &&
 		    strcmp(tracked->move.service,
-			mesh->target.heartbeat.service) == 0) {
+			mesh->target.presence.heartbeat.service) == 0) {
 			mesh->send_runs_after_us =
 			    now_us + runs_interval_us(mesh);
 			send_runs(mesh, now_us);
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -43,23 +43,18 @@
 	    mesh->options.instance);
 }
 
-static bool
-is_leaving(const bf_own_target_t *target)
-{
-	return target->state == BF_TARGET_DRAINING || target->departed;
-}
-
 /* The target, as of the last heartbeat that changed something. */
 static json_t *
 pack_target(const bf_own_target_t *target)
 {
-	const bf_heartbeat_t *heartbeat = &target->heartbeat;
+	const bf_heartbeat_t *heartbeat = &target->presence.heartbeat;
 
 	return json_pack("{s:s,s:s,s:s,s:s,s:I,s:b,s:I,s:I}", "id",
 	    heartbeat->id, "service", heartbeat->service, "version",
 	    heartbeat->version, "address", heartbeat->address, "slots",
-	    (json_int_t)heartbeat->slots, "draining", (int)is_leaving(target),
-	    "sequence", (json_int_t)heartbeat->sequence, "born_ms",
+	    (json_int_t)heartbeat->slots, "draining",
+	    (int)bf_presence_is_leaving(&target->presence), "sequence",
+	    (json_int_t)heartbeat->sequence, "born_ms",
 	    (json_int_t)heartbeat->start_ms);
 }
 
@@ -71,8 +66,9 @@
 is_recorded(const bf_mesh_t *mesh)
 {
 	const bf_recorded_target_t *recorded = &mesh->recorded;
-	const bf_heartbeat_t *known = &mesh->target.heartbeat;
+	const bf_heartbeat_t *known = &mesh->target.presence.heartbeat;
 	const bf_heartbeat_t *written = &recorded->heartbeat;
+	const bf_departure_t *departure = &mesh->target.presence.departure;
 
 	return mesh->member_revision != 0 &&
 	    strcmp(written->id, known->id) == 0 &&
@@ -81,9 +77,10 @@
 	    strcmp(written->service, known->service) == 0 &&
 	    strcmp(written->version, known->version) == 0 &&
 	    strcmp(written->address, known->address) == 0 &&
-	    recorded->draining == is_leaving(&mesh->target) &&
-	    recorded->departed_start_ms == mesh->target.departed_start_ms &&
-	    strcmp(recorded->departed_id, mesh->target.departed_id) == 0;
+	    recorded->draining ==
+	    bf_presence_is_leaving(&mesh->target.presence) &&
+	    recorded->departure.start_ms == departure->start_ms &&
+	    strcmp(recorded->departure.id, departure->id) == 0;
 }
 
 static void
@@ -102,17 +99,15 @@
 	    self->address_text, "zone", self->zone, "incarnation",
 	    (json_int_t)self->incarnation, "link_mbps",
 	    (json_int_t)mesh->options.link_mbps, "left",
-	    mesh->target.departed_id, "left_born_ms",
-	    (json_int_t)mesh->target.departed_start_ms, "target",
+	    mesh->target.presence.departure.id, "left_born_ms",
+	    (json_int_t)mesh->target.presence.departure.start_ms, "target",
 	    pack_target(&mesh->target));
 	mesh->member_dirty = false;
 	mesh->recorded = (bf_recorded_target_t){
-		.heartbeat = mesh->target.heartbeat,
-		.draining = is_leaving(&mesh->target),
-		.departed_start_ms = mesh->target.departed_start_ms,
+		.heartbeat = mesh->target.presence.heartbeat,
+		.draining = bf_presence_is_leaving(&mesh->target.presence),
+		.departure = mesh->target.presence.departure,
 	};
-	memcpy(mesh->recorded.departed_id, mesh->target.departed_id,
-	    sizeof(mesh->recorded.departed_id));
 	write.data_bytes = json_dumpb(record, data, sizeof(data), JSON_COMPACT);
 	json_decref(record);
 	if (write.data_bytes > sizeof(data))
@@ -138,9 +133,10 @@
 {
 	return (bf_store_pace_t){ .first_start = mesh->options.first_start,
 		.has_peers = has_connected_peer(mesh),
-		.has_target = mesh->target.heartbeat.id[0] != '\0',
-		.has_departure = mesh->target.state == BF_TARGET_DRAINING ||
-		    mesh->target.departed,
+		.has_target = mesh->target.presence.heartbeat.id[0] != '\0',
+		.has_departure =
+		    mesh->target.presence.state == BF_TARGET_DRAINING ||
+		    mesh->target.presence.departed,
 		.started_at_us = mesh->start_us,
 		.failures = mesh->member_failures,
 		.stale_lists = mesh->stale_lists };
@@ -218,24 +214,21 @@
 static void
 restore_record(bf_mesh_t *mesh, const bf_kv_item_t *item, bf_time_us_t now_us)
 {
+	bf_departure_t departure = { .start_ms = 0 };
 	json_int_t start_ms;
-	const char *departed_id;
+	const char *id;
 	json_t *record;
 
 	record = json_loadb(item->data, item->data_bytes, 0, NULL);
-	if (mesh->target.departed_id[0] == '\0' &&
-	    json_unpack(record, "{s:s,s:I}", "left", &departed_id,
-		"left_born_ms", &start_ms) == 0 &&
-	    strlen(departed_id) < BF_NAME_BYTES) {
-		(void)snprintf(mesh->target.departed_id,
-		    sizeof(mesh->target.departed_id), "%s", departed_id);
-		mesh->target.departed_start_ms = (uint64_t)start_ms;
-		mesh->target.departed_start_unknown = start_ms == 0;
-		mesh->target.departed_at_us = now_us;
+	if (json_unpack(record, "{s:s,s:I}", "left", &id, "left_born_ms",
+		&start_ms) == 0 &&
+	    strlen(id) < sizeof(departure.id)) {
+		(void)snprintf(departure.id, sizeof(departure.id), "%s", id);
+		departure.start_ms = (uint64_t)start_ms;
+		departure.start_unknown = start_ms == 0;
+		bf_target_restore_departure(mesh, &departure, now_us);
 	}
 	restore_target(mesh, json_object_get(record, "target"), now_us);
-	/* Its heartbeat may have come before the record. */
-	bf_target_check_departed(mesh, now_us);
 	json_decref(record);
 }
 
--- a/mesh/restore.c
+++ b/mesh/restore.c
@@ -36,13 +36,13 @@
 	if (result == BF_HTTP_ANSWERED) {
 		id = bf_http_find(message, mesh->dialect->target_id);
 		is_healthy = message->status == 200 && id != NULL &&
-		    strcmp(id, target->heartbeat.id) == 0;
+		    strcmp(id, target->presence.heartbeat.id) == 0;
 		bf_evacuation_health(
 		    mesh, message, target->health_sent_us, now_us);
 		bf_http_message_free(message);
 	}
 	/* Not if a heartbeat has come meanwhile. */
-	if (is_healthy && target->awaits_health && !target->departed)
+	if (is_healthy && target->awaits_health && !target->presence.departed)
 		bf_target_make_ready(mesh, "restored", now_us);
 	end_check(target, mesh->loop);
 }
@@ -69,11 +69,12 @@
 
 	if (mesh->routing == NULL)
 		return false;
-	service = bf_routing_service(mesh->routing, target->heartbeat.service);
+	service = bf_routing_service(
+	    mesh->routing, target->presence.heartbeat.service);
 	if (service == NULL || service->health_path == NULL)
 		return false;
 	bf_bytes_format(&head, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n",
-	    service->health_path, target->heartbeat.address);
+	    service->health_path, target->presence.heartbeat.address);
 	sent = bf_http_send(&target->client, exchange, &head, &body, 0, now_us);
 	bf_bytes_free(&head);
 	return sent;
@@ -101,16 +102,13 @@
     bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
-	bool accepted;
 
-	if (target->heartbeat.id[0] != '\0')
-		return; /* one has come meanwhile */
-	(void)bf_target_accept(mesh, heartbeat, &accepted, now_us, NULL);
-	if (!accepted)
+	if (bf_target_check_heartbeat(mesh, heartbeat, NULL) != BF_OK ||
+	    !bf_presence_restore(&target->presence, heartbeat, now_us))
 		return;
+	bf_target_apply_heartbeat(mesh, true, now_us);
 	bf_evacuation_doubt(mesh, "restored", now_us);
-	if (heartbeat->draining || target->departed) {
-		target->state = BF_TARGET_DRAINING;
+	if (bf_presence_is_leaving(&target->presence)) {
 		bf_mesh_report_changes(mesh, now_us);
 		return;
 	}
--- a/mesh/state.c
+++ b/mesh/state.c
@@ -63,7 +63,7 @@
 {
 	const bf_own_target_t *target = &mesh->target;
 	bf_node_state_t state = {
-		.target_state = target->state,
+		.target_state = target->presence.state,
 		.incarnation = mesh->incarnation,
 		.stopping = mesh->stop_announced,
 		.store_up = mesh->store_up,
@@ -77,9 +77,12 @@
 	};
 
 	memcpy(state.instance, mesh->self->instance, sizeof(state.instance));
-	memcpy(state.target, target->heartbeat.id, sizeof(state.target));
-	memcpy(state.service, target->heartbeat.service, sizeof(state.service));
-	memcpy(state.version, target->heartbeat.version, sizeof(state.version));
+	memcpy(
+	    state.target, target->presence.heartbeat.id, sizeof(state.target));
+	memcpy(state.service, target->presence.heartbeat.service,
+	    sizeof(state.service));
+	memcpy(state.version, target->presence.heartbeat.version,
+	    sizeof(state.version));
 	return state;
 }
 
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -24,12 +24,6 @@
 #define ANSWER_GRACE_US (150 * BF_US_PER_MS)
 /* Incomplete answers that are held at once, so that memory is bounded. */
 #define ANSWERS_BYTES_MAX ((uint64_t)48 << 20)
-/*
- * A departure names the target's id, not the start time of its process.  If it
- * arrives before the first heartbeat, it applies to the lifetime of this id
- * whose heartbeat arrives within this time.
- */
-#define DEPARTED_MATCH_US (8 * BF_US_PER_S)
 /*
  * An offer that is older is refused: its caller may have left since, and the
  * entry, which knows, can offer the call again.
@@ -176,9 +170,10 @@
 	    &target->capacity, target->queue.count > 0, now_us);
 	if (target->capacity.learnt != learnt)
 		bf_event(mesh->events, BF_EVENT_CAPACITY, now_us,
-		    "s:s,s:i,s:i,s:i,s:i,s:I", "target", target->heartbeat.id,
-		    "slots", (int)slots, "learnt", (int)target->capacity.learnt,
-		    "running", (int)target->queue.running, "speed_percent",
+		    "s:s,s:i,s:i,s:i,s:i,s:I", "target",
+		    target->presence.heartbeat.id, "slots", (int)slots,
+		    "learnt", (int)target->capacity.learnt, "running",
+		    (int)target->queue.running, "speed_percent",
 		    (int)(100 * target->capacity.speed), "run_us",
 		    (json_int_t)learnt_run_us(target, now_us));
 }
@@ -200,7 +195,7 @@
 				: target->queue.slots;
 	uint32_t gate_slots = bf_evacuation_slots(mesh, now_us);
 
-	if (target->state != BF_TARGET_READY)
+	if (target->presence.state != BF_TARGET_READY)
 		slots = 0;
 	else if (gate_slots < slots)
 		slots = gate_slots;
@@ -475,7 +470,7 @@
 	if (text == NULL || sscanf(text, "%u,%u", &running, &waiting) != 2)
 		return;
 	own = target->queue.running + 1;
-	slots = target->heartbeat.slots;
+	slots = target->presence.heartbeat.slots;
 	if (running + waiting > own)
 		slots -= running + waiting - own < slots
 		    ? running + waiting - own
@@ -515,9 +510,9 @@
 		return;
 	bf_event(mesh->events, BF_EVENT_RAN, now_us,
 	    "s:s,s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i", "call", call->request_id,
-	    "route", call->route, "target", mesh->target.heartbeat.id,
-	    "version", mesh->target.heartbeat.version, "result", result,
-	    "status", (int)status, "waited_us",
+	    "route", call->route, "target", mesh->target.presence.heartbeat.id,
+	    "version", mesh->target.presence.heartbeat.version, "result",
+	    result, "status", (int)status, "waited_us",
 	    (json_int_t)(call->sent_us - call->arrived_us), "spent_us",
 	    (json_int_t)(now_us - call->sent_us), "running",
 	    (int)mesh->target.queue.running);
@@ -664,11 +659,11 @@
 {
 	bf_own_target_t *target = &mesh->target;
 
-	if (target->state == BF_TARGET_ABSENT)
+	if (target->presence.state == BF_TARGET_ABSENT)
 		return;
-	target->state = BF_TARGET_ABSENT;
+	target->presence.state = BF_TARGET_ABSENT;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
-	    target->heartbeat.id, "change", change);
+	    target->presence.heartbeat.id, "change", change);
 	refuse_queued(mesh, BF_CAUSE_NO_TARGET, now_us);
 	bf_mesh_report_changes(mesh, now_us);
 }
@@ -762,7 +757,7 @@
 	}
 	bf_bytes_format(&call->head, "%s: %lld\r\n%s: %s\r\n",
 	    dialect->time_left_ms, (long long)(remaining_us / BF_US_PER_MS),
-	    dialect->expected_target, mesh->target.heartbeat.id);
+	    dialect->expected_target, mesh->target.presence.heartbeat.id);
 	if (call->has_body)
 		bf_bytes_format(&call->head, "Content-Length: %zu\r\n",
 		    bf_bytes_count(&call->body->body));
@@ -983,10 +978,10 @@
 {
 	const bf_own_target_t *target = &mesh->target;
 
-	if (target->state == BF_TARGET_ABSENT ||
-	    strcmp(target->heartbeat.id, call->target) != 0)
+	if (target->presence.state == BF_TARGET_ABSENT ||
+	    strcmp(target->presence.heartbeat.id, call->target) != 0)
 		return BF_CAUSE_NO_TARGET;
-	if (target->state != BF_TARGET_READY ||
+	if (target->presence.state != BF_TARGET_READY ||
 	    bf_evacuation_holds(mesh, now_us))
 		return BF_CAUSE_DRAINING;
 	/* It could outlast this process, and be cut off at its target. */
@@ -1231,49 +1226,25 @@
 	silence_max_us =
 	    HEARTBEATS_MISSED_MAX * BF_US_PER_MS * mesh->options.heartbeat_ms +
 	    HEARTBEAT_SLACK_US;
-	if (target->state == BF_TARGET_ABSENT ||
-	    now_us - target->heartbeat_at_us < silence_max_us)
+	if (target->presence.state == BF_TARGET_ABSENT ||
+	    now_us - target->presence.heartbeat_at_us < silence_max_us)
 		return;
-	target->state = BF_TARGET_ABSENT;
+	target->presence.state = BF_TARGET_ABSENT;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s,s:I", "target",
-	    target->heartbeat.id, "change", "silent", "age_us",
-	    (json_int_t)(now_us - target->heartbeat_at_us));
+	    target->presence.heartbeat.id, "change", "silent", "age_us",
+	    (json_int_t)(now_us - target->presence.heartbeat_at_us));
 	bf_mesh_report_changes(mesh, now_us);
 }
 
-/* Whether a heartbeat is of a later lifetime, or a later one of the same. */
-static bool
-is_newer_heartbeat(
-    const bf_own_target_t *target, const bf_heartbeat_t *heartbeat)
-{
-	const bf_heartbeat_t *last = &target->heartbeat;
-
-	if (last->id[0] == '\0')
-		return true;
-	if (heartbeat->start_ms != last->start_ms && heartbeat->start_ms != 0 &&
-	    last->start_ms != 0)
-		return heartbeat->start_ms > last->start_ms;
-	if (strcmp(heartbeat->id, last->id) != 0)
-		return true;
-	return !target->departed && heartbeat->sequence > last->sequence;
-}
-
-static bool
-is_same_lifetime(const bf_heartbeat_t *a, const bf_heartbeat_t *b)
-{
-	return strcmp(a->id, b->id) == 0 && a->start_ms == b->start_ms;
-}
-
 static void
-begin_lifetime(
-    bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us)
+begin_lifetime(bf_mesh_t *mesh, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
+	const bf_heartbeat_t *heartbeat = &target->presence.heartbeat;
 
 	bf_evacuation_begin_lifetime(
 	    mesh, heartbeat->warm_up_remaining_ms * BF_US_PER_MS, now_us);
 	bf_http_client_reset(&target->client);
-	target->departed = false;
 	target->failure_share = 0;
 	target->latency_count = 0;
 	target->runs.count = 0;
@@ -1283,8 +1254,8 @@
 	set_slots(mesh, heartbeat->slots, now_us);
 }
 
-static bf_code_t
-check_heartbeat(
+bf_code_t
+bf_target_check_heartbeat(
     const bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_error_t *err)
 {
 	struct sockaddr_in address;
@@ -1305,72 +1276,41 @@
 	return BF_OK;
 }
 
-/*
- * Whether this lifetime has announced its departure, perhaps to a former
- * process of this node, or to this one before its first heartbeat.
- */
-static bool
-has_departed(bf_own_target_t *target, const bf_heartbeat_t *heartbeat,
-    bf_time_us_t now_us)
-{
-	if (strcmp(target->departed_id, heartbeat->id) != 0)
-		return false;
-	if (target->departed_start_unknown &&
-	    now_us - target->departed_at_us <= DEPARTED_MATCH_US) {
-		target->departed_start_unknown = false;
-		target->departed_start_ms = heartbeat->start_ms;
-	}
-	return !target->departed_start_unknown &&
-	    target->departed_start_ms == heartbeat->start_ms;
-}
-
 void
-bf_target_check_departed(bf_mesh_t *mesh, bf_time_us_t now_us)
-{
-	bf_own_target_t *target = &mesh->target;
-
-	if (target->heartbeat.id[0] == '\0' || target->departed ||
-	    !has_departed(target, &target->heartbeat, now_us))
-		return;
-	target->departed = true;
-	if (target->state == BF_TARGET_READY)
-		target->state = BF_TARGET_DRAINING;
-	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
-	    target->heartbeat.id, "change", "has left before");
-	bf_mesh_report_changes(mesh, now_us);
-}
-
-bf_code_t
-bf_target_accept(bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat,
-    bool *accepted, bf_time_us_t now_us, bf_error_t *err)
+bf_target_apply_heartbeat(
+    bf_mesh_t *mesh, bool new_lifetime, bf_time_us_t now_us)
 {
 	bf_own_target_t *target = &mesh->target;
-	bf_code_t code;
+	const bf_heartbeat_t *heartbeat = &target->presence.heartbeat;
 
-	code = check_heartbeat(mesh, heartbeat, err);
-	*accepted = code == BF_OK && is_newer_heartbeat(target, heartbeat);
-	if (!*accepted)
-		return code;
-	if (!is_same_lifetime(&target->heartbeat, heartbeat))
-		begin_lifetime(mesh, heartbeat, now_us);
+	if (new_lifetime)
+		begin_lifetime(mesh, now_us);
 	(void)bf_address_parse(
 	    heartbeat->address, &target->client.address, NULL);
-	target->heartbeat = *heartbeat;
-	target->heartbeat_at_us = now_us;
 	target->warm_at_us =
 	    now_us + heartbeat->warm_up_remaining_ms * BF_US_PER_MS;
 	mesh->self->version_unconfirmed = bf_movement_record_version(
 	    mesh, heartbeat->service, heartbeat->version, now_us);
-	if (has_departed(target, heartbeat, now_us))
-		target->departed = true;
-	return BF_OK;
+}
+
+void
+bf_target_restore_departure(
+    bf_mesh_t *mesh, const bf_departure_t *departure, bf_time_us_t now_us)
+{
+	bf_presence_t *presence = &mesh->target.presence;
+
+	if (!bf_presence_restore_departure(presence, departure, now_us))
+		return;
+	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target",
+	    presence->heartbeat.id, "change", "has left before");
+	bf_mesh_report_changes(mesh, now_us);
 }
 
 /* Logs and reports a state that a heartbeat or a health check has shown. */
 static void
 announce_state(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
 {
-	const bf_heartbeat_t *heartbeat = &mesh->target.heartbeat;
+	const bf_heartbeat_t *heartbeat = &mesh->target.presence.heartbeat;
 
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us,
 	    "s:s,s:s,s:s,s:s,s:i,s:I,s:I", "target", heartbeat->id, "change",
@@ -1387,8 +1327,8 @@
 {
 	bf_own_target_t *target = &mesh->target;
 
-	target->state = BF_TARGET_READY;
-	set_slots(mesh, target->heartbeat.slots, now_us);
+	target->presence.state = BF_TARGET_READY;
+	set_slots(mesh, target->presence.heartbeat.slots, now_us);
 	announce_state(mesh, change, now_us);
 }
 
@@ -1397,25 +1337,24 @@
     bf_time_us_t now_us, bf_error_t *err)
 {
 	bf_own_target_t *target = &mesh->target;
-	bf_target_state_t state;
-	bool accepted;
+	bf_presence_change_t change;
 	bf_code_t code;
 
-	code = bf_target_accept(mesh, heartbeat, &accepted, now_us, err);
-	if (!accepted)
+	code = bf_target_check_heartbeat(mesh, heartbeat, err);
+	if (code != BF_OK)
 		return code;
+	change = bf_presence_heartbeat(&target->presence, heartbeat, now_us);
+	if (!change.is_accepted)
+		return BF_OK;
+	bf_target_apply_heartbeat(mesh, change.new_lifetime, now_us);
 	target->awaits_health = false;
 	bf_evacuation_heartbeat(mesh, now_us);
-	state = heartbeat->draining || target->departed ? BF_TARGET_DRAINING
-							: BF_TARGET_READY;
-	if (state == target->state)
+	if (!change.new_state)
 		return BF_OK;
-	if (state == BF_TARGET_READY) {
+	if (target->presence.state == BF_TARGET_READY)
 		bf_target_make_ready(mesh, "ready", now_us);
-		return BF_OK;
-	}
-	target->state = state;
-	announce_state(mesh, "draining", now_us);
+	else
+		announce_state(mesh, "draining", now_us);
 	return BF_OK;
 }
 
@@ -1423,26 +1362,9 @@
 bf_mesh_target_departed(
     bf_mesh_t *mesh, const char *id, uint64_t start_ms, bf_time_us_t now_us)
 {
-	bf_own_target_t *target = &mesh->target;
-	const bf_heartbeat_t *current = &target->heartbeat;
-	bool is_current = strcmp(current->id, id) == 0;
-
-	/*
-	 * A late announcement of another lifetime must not replace that of the
-	 * current one.
-	 */
-	if (target->departed || (!is_current && current->id[0] != '\0') ||
-	    (is_current && start_ms != 0 && start_ms < current->start_ms))
+	if (!bf_presence_depart(&mesh->target.presence, id, start_ms, now_us))
 		return;
-	target->departed = is_current;
-	target->departed_start_unknown = !is_current && start_ms == 0;
-	target->departed_at_us = now_us;
-	(void)snprintf(
-	    target->departed_id, sizeof(target->departed_id), "%s", id);
-	target->departed_start_ms = is_current ? current->start_ms : start_ms;
 	bf_registry_update(mesh, now_us);
-	if (target->state == BF_TARGET_READY)
-		target->state = BF_TARGET_DRAINING;
 	bf_event(mesh->events, BF_EVENT_TARGET, now_us, "s:s,s:s", "target", id,
 	    "change", "leaves");
 	bf_mesh_report_changes(mesh, now_us);
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -584,7 +584,8 @@
 	target->start_ms = 1000;
 	target->sequence = sequence + 10;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	/* In the same lifetime a lower sequence number is out of order. */
 	target->start_ms = 2000;
 	target->sequence = 5;
@@ -592,19 +593,20 @@
 	target->sequence = 2;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	/* A target that left does not return in the same lifetime. */
 	bf_mesh_target_departed(
 	    fixture->nodes[0], target->id, 0, bf_clock_monotonic_us());
 	target->sequence = 20;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	/* A new lifetime of the same id, with a new sequence. */
 	target->start_ms = 3000;
 	target->sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	fixture_free(fixture);
 }
 
@@ -621,12 +623,13 @@
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	/* A target that was started later is not affected. */
 	fixture->targets[0].start_ms += 1000;
 	fixture->targets[0].sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	fixture_free(fixture);
 }
 
@@ -646,7 +649,7 @@
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	fixture_free(fixture);
 }
 
@@ -661,7 +664,7 @@
 
 	fixture->store.down = true;
 	/* A change that has to be recorded. */
-	fixture->nodes[0]->target.heartbeat.slots++;
+	fixture->nodes[0]->target.presence.heartbeat.slots++;
 	bf_registry_update(fixture->nodes[0], bf_clock_monotonic_us());
 	fixture_run(fixture, 4 * BF_US_PER_S);
 	bf_mesh_target_departed(fixture->nodes[0], fixture->targets[0].id, 0,
@@ -673,7 +676,7 @@
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	fixture_free(fixture);
 }
 
@@ -696,11 +699,13 @@
 	fixture->store.down = false;
 	fixture_restart_node(fixture, 0);
 	fixture_run(fixture, 2 * BF_US_PER_S);
-	g_assert_cmpint(fixture->nodes[0]->target.state, !=, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, !=, BF_TARGET_READY);
 	/* Its record still keeps an older heartbeat from being accepted. */
 	fixture->targets[0].sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
-	g_assert_cmpint(fixture->nodes[0]->target.state, !=, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, !=, BF_TARGET_READY);
 	fixture_free(fixture);
 }
 
@@ -719,10 +724,11 @@
 	target->sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	bf_mesh_target_departed(fixture->nodes[0], target->id, 1000, now_us);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	bf_mesh_target_departed(fixture->nodes[0], target->id, 2000, now_us);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	fixture_free(fixture);
 }
 
@@ -792,10 +798,12 @@
 	size_t i;
 
 	fixture_run(fixture, SETTLE_US);
-	memset(target->heartbeat.version, 1,
-	    sizeof(target->heartbeat.version) - 1);
-	memset(target->heartbeat.id, 1, sizeof(target->heartbeat.id) - 1);
-	memset(target->departed_id, 1, sizeof(target->departed_id) - 1);
+	memset(target->presence.heartbeat.version, 1,
+	    sizeof(target->presence.heartbeat.version) - 1);
+	memset(target->presence.heartbeat.id, 1,
+	    sizeof(target->presence.heartbeat.id) - 1);
+	memset(target->presence.departure.id, 1,
+	    sizeof(target->presence.departure.id) - 1);
 	bf_registry_update(fixture->nodes[0], bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
 	for (i = 0; i < fixture->store.key_count; i++) {
@@ -846,7 +854,8 @@
 	fixture_run(fixture, SETTLE_US);
 	fixture_restart_node(fixture, 0);
 	fixture_run(fixture, SETTLE_US);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	g_assert_cmpuint(
 	    fixture->nodes[0]->target.queue.slots, ==, TARGET_SLOTS);
 	/* It does not serve one that ended meanwhile. */
@@ -856,7 +865,8 @@
 	(void)send_and_await(fixture, "GET", "/read/x", "c1");
 	(void)send_and_await(fixture, "GET", "/read/x", "c2");
 	(void)send_and_await(fixture, "GET", "/read/x", "c3");
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_ABSENT);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_ABSENT);
 	fixture_free(fixture);
 }
 
@@ -876,7 +886,8 @@
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
 	fixture_run(fixture, SETTLE_US);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	g_assert_cmpuint(fixture->store.write_count - before, ==, 2);
 	/* That it drains is one. */
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", true), ==, BF_OK);
@@ -1143,7 +1154,7 @@
 	g_assert_true(capacity->has_mean);
 	g_assert_cmpuint(capacity->running, ==, 0);
 	load = bf_target_load(mesh, bf_clock_monotonic_us());
-	g_assert_cmpuint(load.slots, ==, mesh->target.heartbeat.slots);
+	g_assert_cmpuint(load.slots, ==, mesh->target.presence.heartbeat.slots);
 	g_assert_cmpuint(load.mean_us, >=, 20 * BF_US_PER_MS);
 	fixture->targets[0].delay_us = 300 * BF_US_PER_MS;
 	fixture_send(
@@ -2132,7 +2143,7 @@
 	fixture_restart_node(fixture, 0);
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	fixture_free(fixture);
 }
 
@@ -2151,12 +2162,13 @@
 	    fixture->nodes[0], "t0", 0, bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
 	g_assert_cmpint(
-	    fixture->nodes[0]->target.state, ==, BF_TARGET_DRAINING);
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_DRAINING);
 	/* A later lifetime of the same id has not left. */
 	fixture->targets[0].start_ms++;
 	fixture->targets[0].sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
-	g_assert_cmpint(fixture->nodes[0]->target.state, ==, BF_TARGET_READY);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	fixture_free(fixture);
 }
 
