Confirm a target by its health check after a restart of its node

Cause: the new process believed the first heartbeat it got, however late. Its log says "ready" with the sequence of a heartbeat sent before the departure, not "restored", so the record was not at fault. Change: a lifetime that a former process may have known gets calls only once its health check has said that it is not leaving, or after 8 s of heartbeats, as health checks can fail falsely. A target that started after its node's process, and those of a node's first process, need no check. Departures are remembered for lifetimes that are not current, an unknown start never replaces a known one, and a departure also ends the earlier lifetimes of its id. Two cases of test_mesh expected a new lifetime to be ready at once after a restart; they now allow for one exchange with the target on the same machine.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -261,11 +261,9 @@
 	bf_presence_t presence;
 	bf_time_us_t warm_at_us; /* end of its warm-up: runs are timed then */
 
-	/* The target of a restored record, which is not known to be ready. */
-	bool awaits_health;
 	bf_http_exchange_t health_exchange;
 	bf_time_us_t health_sent_us;
-	bf_timer_t health_timer;
+	bf_timer_t health_timer; /* ends the check, or starts the next one */
 
 	bf_http_client_t client;
 	bf_call_queue_t queue;
@@ -754,6 +752,9 @@
 /* Applies what the presence has taken over from a heartbeat or a record. */
 void bf_target_apply_heartbeat(
     bf_mesh_t *mesh, bool new_lifetime, bf_time_us_t now_us);
+/* Logs and reports what is known of the target now. */
+void bf_target_announce(
+    bf_mesh_t *mesh, const char *change, bf_time_us_t now_us);
 /* Gives the target calls from now on. */
 void bf_target_make_ready(
     bf_mesh_t *mesh, const char *change, bf_time_us_t now_us);
@@ -869,17 +870,17 @@
     bf_time_us_t sent_us, bf_time_us_t now_us);
 void bf_evacuation_update_gauges(bf_mesh_t *mesh, bf_time_us_t now_us);
 
-/* mesh/restore.c: the target that a former process of this node knew. */
+/* mesh/confirm.c: the health check of a target that a former process knew. */
 
 /* Restores the target from the last heartbeat that the record holds. */
 void bf_target_restore(
     bf_mesh_t *mesh, const bf_heartbeat_t *heartbeat, bf_time_us_t now_us);
-/* Begins the health check of a restored target, once its path is known. */
+/* Begins the health check that the target awaits, once its path is known. */
 void bf_target_check_health(bf_mesh_t *mesh, bf_time_us_t now_us);
 /* Sends a health check; false: its path is not known, or no connection. */
 bool bf_target_send_health_check(
     bf_mesh_t *mesh, bf_http_exchange_t *exchange, bf_time_us_t now_us);
-void bf_target_restore_stop(bf_mesh_t *mesh);
+void bf_target_cancel_health_check(bf_mesh_t *mesh);
 
 /* Codecs of frames that several source files read or write. */
 void bf_wire_write_load(bf_wire_writer_t *writer, const bf_load_t *load);
--- a/mesh/mesh.c
+++ b/mesh/mesh.c
@@ -176,6 +176,8 @@
 	bf_mesh_set_service(mesh, options->service);
 	add_metrics(mesh, metrics);
 	mesh->caps = bf_caps_new(mesh, metrics);
+	bf_presence_init(&mesh->target.presence,
+	    (bf_time_us_t)mesh->incarnation, !options->first_start);
 	bf_target_open(mesh);
 	if (bf_evacuation_open(mesh, metrics, err) != BF_OK) {
 		bf_mesh_free(mesh);
@@ -220,7 +222,7 @@
 	bf_registry_stop(mesh);
 	bf_roster_close(mesh);
 	bf_caps_free(mesh->caps);
-	bf_target_restore_stop(mesh);
+	bf_target_cancel_health_check(mesh);
 	bf_evacuation_close(mesh);
 	bf_http_client_reset(&mesh->target.client);
 	bf_loop_timer_cancel(mesh->loop, &mesh->target.expiry_timer);
--- a/mesh/presence.h
+++ b/mesh/presence.h
@@ -12,8 +12,14 @@
  * calls.  A lifetime is one process of a target: its id and its start time.
  *
  * Heartbeats and announcements of a departure may arrive late and in any order,
- * and the node's process may have been killed in between.  All functions are
- * pure: the caller sends what they ask for and reports what changed.
+ * and the node's process may have been killed in between.  A former process may
+ * have acknowledged a departure that the store never got, and the next
+ * heartbeat may have been sent before it.  So a lifetime that a former process
+ * may have known gets calls only once the target itself has confirmed, by its
+ * health check, that it is not leaving.
+ *
+ * All functions are pure: the caller sends what they ask for and reports what
+ * changed.
  */
 
 /* A heartbeat of the target beside this node. */
@@ -38,13 +44,23 @@
 	bf_time_us_t learnt_at_us;
 } bf_departure_t;
 
+#define BF_DEPARTURES_MAX 4
+
 typedef struct bf_presence {
 	bf_heartbeat_t heartbeat; /* the last one that was accepted */
 	bf_target_state_t state;
 	bf_time_us_t heartbeat_at_us;
-	bool departed; /* the current lifetime has announced its departure */
-	/* The last one announced, also to a former process of this node. */
-	bf_departure_t departure;
+	bool departed;  /* the current lifetime has announced its departure */
+	bool confirmed; /* the current lifetime needs no health check */
+	/* Its first heartbeat to this process; 0: none, it was restored. */
+	bf_time_us_t unconfirmed_since_us;
+	/*
+	 * Wall clock; a former process may have known the lifetimes that began
+	 * before it.  0: there was no former process.
+	 */
+	uint64_t known_before_ms;
+	/* Newest first, also those that a former process recorded. */
+	bf_departure_t departures[BF_DEPARTURES_MAX];
 } bf_presence_t;
 
 /* What a heartbeat has changed. */
@@ -54,6 +70,13 @@
 	bool new_state;
 } bf_presence_change_t;
 
+/*
+ * started_wall_us: the wall clock at the start of this process.  is_successor:
+ * there may have been a former process of this node.
+ */
+void bf_presence_init(
+    bf_presence_t *presence, bf_time_us_t started_wall_us, bool is_successor);
+
 bf_presence_change_t bf_presence_heartbeat(bf_presence_t *presence,
     const bf_heartbeat_t *heartbeat, bf_time_us_t now_us);
 
@@ -72,12 +95,21 @@
     const bf_departure_t *departure, bf_time_us_t now_us);
 
 /*
- * Takes the target that a former process recorded, unless one has announced
- * itself meanwhile.  Returns whether it was taken.
+ * Takes the last heartbeat that a former process recorded, unless a newer one
+ * has come meanwhile.
  */
-bool bf_presence_restore(bf_presence_t *presence,
+bf_presence_change_t bf_presence_restore(bf_presence_t *presence,
     const bf_heartbeat_t *recorded, bf_time_us_t now_us);
 
+/* Whether a health check is to show that the target may get calls. */
+bool bf_presence_awaits_health(const bf_presence_t *presence);
+
+/*
+ * The target has confirmed that it is the current one and is not leaving.
+ * Returns whether it gets calls from now on.
+ */
+bool bf_presence_confirm(bf_presence_t *presence);
+
 /* The target is on its way out: it drains or has announced its departure. */
 bool bf_presence_is_leaving(const bf_presence_t *presence);
 
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -68,7 +68,7 @@
 	const bf_recorded_target_t *recorded = &mesh->recorded;
 	const bf_heartbeat_t *known = &mesh->target.presence.heartbeat;
 	const bf_heartbeat_t *written = &recorded->heartbeat;
-	const bf_departure_t *departure = &mesh->target.presence.departure;
+	const bf_departure_t *departure = &mesh->target.presence.departures[0];
 
 	return mesh->member_revision != 0 &&
 	    strcmp(written->id, known->id) == 0 &&
@@ -99,14 +99,14 @@
 	    self->address_text, "zone", self->zone, "incarnation",
 	    (json_int_t)self->incarnation, "link_mbps",
 	    (json_int_t)mesh->options.link_mbps, "left",
-	    mesh->target.presence.departure.id, "left_born_ms",
-	    (json_int_t)mesh->target.presence.departure.start_ms, "target",
+	    mesh->target.presence.departures[0].id, "left_born_ms",
+	    (json_int_t)mesh->target.presence.departures[0].start_ms, "target",
 	    pack_target(&mesh->target));
 	mesh->member_dirty = false;
 	mesh->recorded = (bf_recorded_target_t){
 		.heartbeat = mesh->target.presence.heartbeat,
 		.draining = bf_presence_is_leaving(&mesh->target.presence),
-		.departure = mesh->target.presence.departure,
+		.departure = mesh->target.presence.departures[0],
 	};
 	write.data_bytes = json_dumpb(record, data, sizeof(data), JSON_COMPACT);
 	json_decref(record);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -1244,6 +1244,7 @@
 
 	bf_evacuation_begin_lifetime(
 	    mesh, heartbeat->warm_up_remaining_ms * BF_US_PER_MS, now_us);
+	bf_target_cancel_health_check(mesh);
 	bf_http_client_reset(&target->client);
 	target->failure_share = 0;
 	target->latency_count = 0;
@@ -1306,9 +1307,8 @@
 	bf_mesh_report_changes(mesh, now_us);
 }
 
-/* Logs and reports a state that a heartbeat or a health check has shown. */
-static void
-announce_state(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
+void
+bf_target_announce(bf_mesh_t *mesh, const char *change, bf_time_us_t now_us)
 {
 	const bf_heartbeat_t *heartbeat = &mesh->target.presence.heartbeat;
 
@@ -1318,7 +1318,6 @@
 	    heartbeat->version, "slots", (int)heartbeat->slots, "sequence",
 	    (json_int_t)heartbeat->sequence, "born_ms",
 	    (json_int_t)heartbeat->start_ms);
-	bf_registry_update(mesh, now_us);
 	bf_mesh_report_changes(mesh, now_us);
 }
 
@@ -1329,7 +1328,8 @@
 
 	target->presence.state = BF_TARGET_READY;
 	set_slots(mesh, target->presence.heartbeat.slots, now_us);
-	announce_state(mesh, change, now_us);
+	bf_registry_update(mesh, now_us);
+	bf_target_announce(mesh, change, now_us);
 }
 
 bf_code_t
@@ -1347,14 +1347,18 @@
 	if (!change.is_accepted)
 		return BF_OK;
 	bf_target_apply_heartbeat(mesh, change.new_lifetime, now_us);
-	target->awaits_health = false;
 	bf_evacuation_heartbeat(mesh, now_us);
-	if (!change.new_state)
-		return BF_OK;
-	if (target->presence.state == BF_TARGET_READY)
+	if (bf_presence_awaits_health(&target->presence)) {
+		if (change.new_lifetime)
+			bf_target_announce(mesh, "unconfirmed", now_us);
+		bf_target_check_health(mesh, now_us);
+	} else if (change.new_state &&
+	    target->presence.state == BF_TARGET_READY) {
 		bf_target_make_ready(mesh, "ready", now_us);
-	else
-		announce_state(mesh, "draining", now_us);
+	} else if (change.new_state) {
+		bf_registry_update(mesh, now_us);
+		bf_target_announce(mesh, "draining", now_us);
+	}
 	return BF_OK;
 }
 
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -963,6 +963,11 @@
 	    &fixture->accesses[node].kv, fixture->events, fixture->metrics,
 	    NULL);
 	g_assert_nonnull(fixture->nodes[node]);
+	/* Only later processes of a node have a former one. */
+	if (!fixture->started[node])
+		bf_presence_init(
+		    &fixture->nodes[node]->target.presence, 0, false);
+	fixture->started[node] = true;
 	g_assert_cmpint(
 	    bf_mesh_start(fixture->nodes[node], now_us, NULL), ==, BF_OK);
 	options->advertise_address = NULL;
--- a/tests/mesh_fixture.h
+++ b/tests/mesh_fixture.h
@@ -138,6 +138,7 @@
 	bf_mesh_t *nodes[FIXTURE_NODES_MAX];
 	bf_mesh_options_t options[FIXTURE_NODES_MAX];
 	char names[FIXTURE_NODES_MAX][16];
+	bool started[FIXTURE_NODES_MAX]; /* at least once */
 	fake_target_t targets[FIXTURE_NODES_MAX];
 	bool has_links;
 	soak_proxy_t links[FIXTURE_NODES_MAX]; /* from peers to each node */
--- a/tests/test_mesh.c
+++ b/tests/test_mesh.c
@@ -628,6 +628,7 @@
 	fixture->targets[0].start_ms += 1000;
 	fixture->targets[0].sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US); /* its health check */
 	g_assert_cmpint(
 	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	fixture_free(fixture);
@@ -709,6 +710,41 @@
 	fixture_free(fixture);
 }
 
+/*
+ * The store is down when the announcement is acknowledged, then the node is
+ * killed.  A heartbeat sent before the announcement that reaches the node's
+ * next process late must not give the target calls again.
+ */
+static void
+test_left_late_heartbeat(void)
+{
+	mesh_fixture_t *fixture = new_configured(2);
+	fake_target_t *target = &fixture->targets[0];
+
+	fixture_run(fixture, SETTLE_US);
+	fixture->store.down = true;
+	bf_mesh_target_departed(
+	    fixture->nodes[0], target->id, 0, bf_clock_monotonic_us());
+	target->unhealthy = true;
+	fixture_restart_node(fixture, 0);
+	fixture_run(fixture, SETTLE_US);
+	fixture->store.down = false;
+	fixture_run(fixture, 2 * BF_US_PER_S);
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, !=, BF_TARGET_READY);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, !=, BF_TARGET_READY);
+	/* The same from a target that has not left. */
+	target->unhealthy = false;
+	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US);
+	g_assert_cmpint(
+	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
+	fixture_free(fixture);
+}
+
 /*
  * A target may start again under its id.  The announcement that its former
  * lifetime has left, late, must not take the new one out of use.
@@ -802,8 +838,8 @@
 	    sizeof(target->presence.heartbeat.version) - 1);
 	memset(target->presence.heartbeat.id, 1,
 	    sizeof(target->presence.heartbeat.id) - 1);
-	memset(target->presence.departure.id, 1,
-	    sizeof(target->presence.departure.id) - 1);
+	memset(target->presence.departures[0].id, 1,
+	    sizeof(target->presence.departures[0].id) - 1);
 	bf_registry_update(fixture->nodes[0], bf_clock_monotonic_us());
 	fixture_run(fixture, SETTLE_US);
 	for (i = 0; i < fixture->store.key_count; i++) {
@@ -2167,6 +2203,7 @@
 	fixture->targets[0].start_ms++;
 	fixture->targets[0].sequence = 0;
 	g_assert_cmpint(fixture_heartbeat(fixture, 0, "v1", false), ==, BF_OK);
+	fixture_run(fixture, SETTLE_US); /* its health check */
 	g_assert_cmpint(
 	    fixture->nodes[0]->target.presence.state, ==, BF_TARGET_READY);
 	fixture_free(fixture);
@@ -2204,6 +2241,7 @@
 	g_test_add_func("/mesh/left-before-restart", test_left_before_restart);
 	g_test_add_func("/mesh/left-before-record", test_left_before_record);
 	g_test_add_func("/mesh/left-unrecorded", test_left_unrecorded);
+	g_test_add_func("/mesh/left-late-heartbeat", test_left_late_heartbeat);
 	g_test_add_func("/mesh/late-departure", test_late_departure);
 	g_test_add_func(
 	    "/mesh/left-while-store-down", test_left_while_store_down);
