Refuse no legal configuration for a bound of the node

A configuration is refused whole, so one value beyond a private bound kept all that it takes away in use, or had its keys refused. Cause: bounds in decode.c, routing.c and fixed buffers, each with its own value: 511 bytes a text, 8 parts of a split, 1 h, 16 attempts, 1 day for a move or warm-up, 1e9 calls a second, 1,024 bytes of host and prefix (a longer one was accepted and answered 404), 63 bytes for a service and its version in heartbeats and orders, 63 bytes for a route's name between nodes (a longer one closed the connection that an offer came on). Change: texts, splits, times and attempts have no bound of their own; numbers beyond what is kept count as the greatest; services and versions share BF_SERVICE_BYTES; a long route name is cut with a digest where it is decoded (mesh/names.h); lookups use a buffer as long as the longest route. 16 moves and 64 versions at once become 64 and 256. A health path that cannot be sent in a request is refused; it was sent as it stood.

--- a/mesh/internal.h
+++ b/mesh/internal.h
@@ -39,7 +39,7 @@
 
 #define BF_REQUEST_ID_BYTES 96
 #define BF_OFFERS_MAX 6 /* offers of one call, at most */
-#define BF_MOVES_MAX 16
+#define BF_MOVES_MAX 64
 #define BF_SERVICES_MAX 64
 
 typedef struct bf_peer bf_peer_t;
@@ -72,8 +72,8 @@
 	char instance[BF_NAME_BYTES];
 	uint64_t incarnation;       /* wall clock at the start of the process */
 	char target[BF_NAME_BYTES]; /* id; empty if there is none */
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES];
 	bf_target_state_t target_state;
 	bool stopping; /* the node takes no more calls */
 	bool store_up; /* the store served its last call */
@@ -134,7 +134,7 @@
 	/* Results of its target's runs, and those before the current move. */
 	bf_run_tallies_t runs;
 	bf_run_tallies_t runs_base;
-	char runs_base_version[BF_NAME_BYTES]; /* the move's new version */
+	char runs_base_version[BF_SERVICE_BYTES]; /* the move's new version */
 };
 
 /* A connection dialled by another node. */
@@ -297,7 +297,7 @@
 	bf_move_record_t record;
 	bf_move_history_t history; /* orders that were seen */
 	/* Earlier moves' versions that were rolled back, the newest first. */
-	char withdrawn[BF_WITHDRAWN_MAX][BF_NAME_BYTES];
+	char withdrawn[BF_WITHDRAWN_MAX][BF_SERVICE_BYTES];
 	bf_time_us_t announced_at_us; /* last sent to all peers */
 
 	/*
@@ -322,19 +322,19 @@
 
 /* This node's part of the retry budget for calls to a service. */
 typedef struct bf_service_budget {
-	char service[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
 	bf_retry_budget_t budget;
 } bf_service_budget_t;
 
 /* A version of a service that a target was reported to run. */
 typedef struct bf_tracked_version {
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES];
 	bf_time_us_t first_seen_us;
 	bool confirmed; /* see bf_movement_record_version */
 } bf_tracked_version_t;
 
-#define BF_VERSIONS_MAX 64
+#define BF_VERSIONS_MAX 256
 
 /* What a call to the store is for. */
 typedef enum bf_store_purpose {
@@ -351,7 +351,7 @@
 
 /* The plans by service, with the zones that their indices stand for. */
 typedef struct bf_service_zone_plan {
-	char service[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
 	bf_zone_plan_t plan;
 	double logged_share;
 } bf_service_zone_plan_t;
@@ -422,7 +422,7 @@
 
 struct bf_mesh {
 	bf_mesh_options_t options;
-	char service[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
 	const bf_dialect_t *dialect;
 	bf_loop_t *loop;
 	bf_kv_t *kv;
--- a/mesh/move.h
+++ b/mesh/move.h
@@ -6,6 +6,10 @@
 
 #include "base/clock.h"
 #include "member/record.h"
+#include "mesh/names.h"
+
+/* Of the key of a move's order or outcome: a prefix and the service. */
+#define BF_MOVE_KEY_BYTES (BF_NAME_BYTES + BF_SERVICE_BYTES)
 
 /*
  * Decides on one move, the gradual shift of a service's calls to a new version,
@@ -27,15 +31,15 @@
 
 /* A move as ordered by an operator. */
 typedef struct bf_move_order {
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES]; /* the new version */
-	uint32_t duration_ms;        /* from the order to the end of the move */
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES]; /* the new version */
+	uint32_t duration_ms; /* from the order to the end of the move */
 } bf_move_order_t;
 
 /* State of a move as written to the store. */
 typedef struct bf_move_outcome {
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES];
 	bf_move_state_t state;
 } bf_move_outcome_t;
 
@@ -85,8 +89,8 @@
 #define BF_SHARE_ALL_PPM 1000000U
 
 typedef struct bf_move {
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES];
 	uint64_t order_revision;  /* of the order's key in the store */
 	bf_time_us_t began_at_us; /* monotonic, of this process */
 	bf_time_us_t duration_us;
--- a/mesh/move_history.h
+++ b/mesh/move_history.h
@@ -19,7 +19,7 @@
 typedef struct bf_move_history {
 	struct {
 		uint64_t revision;
-		char version[BF_NAME_BYTES];
+		char version[BF_SERVICE_BYTES];
 	} orders[BF_MOVE_HISTORY_MAX]; /* the newest first */
 	uint32_t count;
 } bf_move_history_t;
--- a/mesh/movement.c
+++ b/mesh/movement.c
@@ -315,7 +315,7 @@
 bf_movement_receive_confirmed(
     bf_mesh_t *mesh, bf_wire_reader_t *reader, bf_time_us_t now_us)
 {
-	char service[BF_NAME_BYTES], version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES], version[BF_SERVICE_BYTES];
 	bf_tracked_version_t *tracked;
 
 	bf_wire_read_text(reader, service, sizeof(service));
@@ -645,7 +645,7 @@
 read_conflict(
     bf_tracked_move_t *tracked, const bf_kv_reply_t *reply, bf_time_us_t now_us)
 {
-	char order[2 * BF_NAME_BYTES];
+	char order[BF_MOVE_KEY_BYTES];
 	const bf_kv_item_t *item;
 	size_t i;
 
@@ -695,7 +695,7 @@
 {
 	bf_mesh_t *mesh = tracked->mesh;
 	bf_move_record_t *record = &tracked->record;
-	char key[2 * BF_NAME_BYTES], order[2 * BF_NAME_BYTES];
+	char key[BF_MOVE_KEY_BYTES], order[BF_MOVE_KEY_BYTES];
 	bf_bytes_t data = { 0 };
 	bf_kv_write_t writes[2];
 
--- a/mesh/names.c
+++ b/mesh/names.c
@@ -1,7 +1,12 @@
+#include <inttypes.h>
+#include <stdio.h>
 #include <string.h>
 
+#include "base/digest.h"
 #include "mesh/names.h"
 
+#define DIGEST_BYTES 16 /* in hexadecimal */
+
 static bool
 is_space(char c)
 {
@@ -41,3 +46,19 @@
 	}
 	return true;
 }
+
+void
+bf_name_of_route(const char *name, char out[BF_ROUTE_NAME_BYTES])
+{
+	int bytes = BF_ROUTE_NAME_BYTES - DIGEST_BYTES - 2;
+
+	if (strlen(name) < BF_ROUTE_NAME_BYTES) {
+		(void)snprintf(out, BF_ROUTE_NAME_BYTES, "%s", name);
+		return;
+	}
+	/* Not within a character of UTF-8. */
+	while (bytes > 0 && ((unsigned char)name[bytes] & 0xc0) == 0x80)
+		bytes--;
+	(void)snprintf(out, BF_ROUTE_NAME_BYTES, "%.*s~%016" PRIx64, bytes,
+	    name, bf_hash_text(name, 0));
+}
--- a/mesh/names.h
+++ b/mesh/names.h
@@ -16,6 +16,9 @@
 /* Of a host name, with its NUL (RFC 1035, 2.3.4). */
 #define BF_HOST_BYTES 256
 
+/* Of the name of a route in logs and between nodes, with its NUL. */
+#define BF_ROUTE_NAME_BYTES 64
+
 /*
  * Whether a text arrives unchanged as the value of a header field: not empty,
  * no control characters but tabs, no space or tab at either end (RFC 9110,
@@ -29,4 +32,10 @@
 /* Whether a text is the path of a request: "/..." of visible ASCII. */
 bool bf_name_is_path(const char *text);
 
+/*
+ * The name under which a route is known in logs and between nodes: a long one
+ * is cut, and ends with a digest of the whole.
+ */
+void bf_name_of_route(const char *name, char out[BF_ROUTE_NAME_BYTES]);
+
 #endif
--- a/mesh/presence.h
+++ b/mesh/presence.h
@@ -6,6 +6,7 @@
 
 #include "base/clock.h"
 #include "member/record.h"
+#include "mesh/names.h"
 
 /*
  * Which lifetime of the target beside a node is current, and whether it may get
@@ -25,8 +26,8 @@
 /* A heartbeat of the target beside this node. */
 typedef struct bf_heartbeat {
 	char id[BF_NAME_BYTES];
-	char service[BF_NAME_BYTES];
-	char version[BF_NAME_BYTES];
+	char service[BF_SERVICE_BYTES];
+	char version[BF_SERVICE_BYTES];
 	char address[BF_ADDRESS_BYTES];
 	uint32_t slots; /* calls that it runs at once, at most */
 	bool draining;
--- a/mesh/registry.c
+++ b/mesh/registry.c
@@ -22,7 +22,7 @@
 /* Interval at which nodes are listed again, in case one was missed. */
 #define LIST_INTERVAL_US (12 * BF_US_PER_S)
 /* Eight texts of up to 63 bytes, of which each may take six in JSON. */
-#define RECORD_BYTES_MAX 4096
+#define RECORD_BYTES_MAX 8192
 /* The clocks of two instances differ by seconds at most. */
 #define INCARNATION_AHEAD_MAX_US (86400 * BF_US_PER_S)
 /* Far above any target's; a record that states more is another writer's. */
--- a/mesh/roster.c
+++ b/mesh/roster.c
@@ -724,7 +724,7 @@
     bf_wire_reader_t *reader, bf_time_us_t now_us)
 {
 	char request_id[BF_REQUEST_ID_BYTES], target[BF_NAME_BYTES];
-	char route[BF_NAME_BYTES];
+	char route[BF_ROUTE_NAME_BYTES];
 	bf_bytes_t head = { 0 };
 	bf_offer_t offer = { .id = frame->offer_id };
 	bf_time_us_t age_us;
--- a/mesh/routing.c
+++ b/mesh/routing.c
@@ -8,10 +8,6 @@
 
 #include "mesh/routing.h"
 
-/* Host and path are matched up to this total length. */
-#define KEY_BYTES 1024
-#define TIMEOUT_MS_MAX 3600000U
-#define ATTEMPTS_MAX 16U
 #define ROUTES_INITIAL 512
 #define SERVICES_INITIAL 16
 
@@ -23,7 +19,9 @@
 	const bf_account_directory_t *accounts; /* NULL: none */
 	apr_array_header_t *routes;             /* bf_mesh_route_t */
 	apr_array_header_t *services;           /* bf_mesh_service_t */
-	apr_hash_t *by_key;    /* "host/prefix/" -> bf_mesh_route_t */
+	apr_hash_t *by_key; /* "host/prefix/" -> bf_mesh_route_t */
+	char *key;          /* for lookups, as long as the longest */
+	size_t key_bytes_max;
 	apr_hash_t *by_source; /* bf_digest_t -> bf_mesh_route_t */
 };
 
@@ -120,6 +118,8 @@
 	copy.name = apr_pstrdup(routing->pool, route->name);
 	copy.prefix = apr_pstrdup(routing->pool, route->prefix);
 	copy.regions = copy_list(routing, route->regions);
+	copy.backends = apr_pmemdup(routing->pool, route->backends,
+	    copy.backend_count * sizeof(*copy.backends));
 	for (i = 0; i < copy.backend_count; i++) {
 		copy.backends[i].service =
 		    apr_pstrdup(routing->pool, route->backends[i].service);
@@ -192,14 +192,12 @@
 		    "prefix \"%s\" of route \"%s\" does not begin and end "
 		    "with a slash",
 		    route->prefix, route->name);
-	if (route->timeout_ms == 0 || route->timeout_ms > TIMEOUT_MS_MAX)
+	if (route->timeout_ms == 0)
 		return bf_error_set(err, BF_ERR_RANGE,
-		    "timeout of route \"%s\" is %u ms, outside 1 to %u",
-		    route->name, route->timeout_ms, TIMEOUT_MS_MAX);
-	if (route->attempts_max == 0 || route->attempts_max > ATTEMPTS_MAX)
+		    "timeout of route \"%s\" is 0 ms", route->name);
+	if (route->attempts_max == 0)
 		return bf_error_set(err, BF_ERR_RANGE,
-		    "route \"%s\" allows %u attempts, outside 1 to %u",
-		    route->name, route->attempts_max, ATTEMPTS_MAX);
+		    "route \"%s\" allows no attempt", route->name);
 	return check_backends(routing, route, err);
 }
 
@@ -228,10 +226,13 @@
 			return bf_error_set(err, BF_ERR_CONFLICT,
 			    "two routes have host and prefix \"%s\"", key);
 		apr_hash_set(routing->by_key, key, APR_HASH_KEY_STRING, route);
+		if (strlen(key) > routing->key_bytes_max)
+			routing->key_bytes_max = strlen(key);
 		if (route->source.high != 0 || route->source.low != 0)
 			apr_hash_set(routing->by_source, &route->source,
 			    sizeof(route->source), route);
 	}
+	routing->key = apr_palloc(routing->pool, routing->key_bytes_max + 1);
 	return BF_OK;
 }
 
@@ -253,16 +254,19 @@
 	return (size_t)routing->routes->nelts;
 }
 
-/* Writes the host without port in lower case; returns its length. */
+/*
+ * Writes the host without port in lower case; returns its length, or 0 if it is
+ * longer than that of any route.
+ */
 static size_t
-put_host(char *key, const char *host)
+put_host(const bf_routing_t *routing, const char *host)
 {
 	size_t bytes = strcspn(host, ":"), i;
 
-	if (bytes >= KEY_BYTES)
+	if (bytes > routing->key_bytes_max)
 		return 0;
 	for (i = 0; i < bytes; i++)
-		key[i] = (char)tolower((unsigned char)host[i]);
+		routing->key[i] = (char)tolower((unsigned char)host[i]);
 	return bytes;
 }
 
@@ -270,19 +274,18 @@
 bf_routing_match(
     const bf_routing_t *routing, const char *host, const char *target)
 {
-	char key[KEY_BYTES];
 	size_t host_bytes, path_bytes;
 	bf_mesh_route_t *route;
 
-	host_bytes = put_host(key, host);
+	host_bytes = put_host(routing, host);
 	path_bytes = strcspn(target, "?");
-	if (path_bytes > KEY_BYTES - host_bytes)
-		path_bytes = KEY_BYTES - host_bytes;
-	memcpy(key + host_bytes, target, path_bytes);
+	if (path_bytes > routing->key_bytes_max - host_bytes)
+		path_bytes = routing->key_bytes_max - host_bytes;
+	memcpy(routing->key + host_bytes, target, path_bytes);
 	for (; path_bytes > 0; path_bytes--) {
 		if (target[path_bytes - 1] != '/')
 			continue;
-		route = apr_hash_get(routing->by_key, key,
+		route = apr_hash_get(routing->by_key, routing->key,
 		    (apr_ssize_t)(host_bytes + path_bytes));
 		if (route != NULL)
 			return route;
--- a/mesh/routing.h
+++ b/mesh/routing.h
@@ -30,10 +30,8 @@
 	int64_t current_weight; /* state of bf_route_next_service */
 } bf_route_backend_t;
 
-#define BF_ROUTE_BACKENDS_MAX 8
-
 typedef struct bf_mesh_route {
-	const char *name;
+	const char *name;   /* see bf_name_of_route */
 	const char *host;   /* lower case, without port */
 	const char *prefix; /* begins and ends with a slash */
 	bf_route_kind_t kind;
@@ -41,7 +39,7 @@
 	uint32_t timeout_ms;   /* longest time until the final answer */
 	uint32_t objective_ms; /* an answer within this time is on time */
 	uint32_t attempts_max; /* targets that a call may be sent to */
-	bf_route_backend_t backends[BF_ROUTE_BACKENDS_MAX];
+	bf_route_backend_t *backends;
 	uint32_t backend_count;
 	bool is_public; /* callers need no key, if there are accounts */
 	/* Where its calls may run, NULL-terminated; NULL: anywhere. */
@@ -76,7 +74,7 @@
 /* Pool for the strings of routes and services; it lives as long as routing. */
 apr_pool_t *bf_routing_pool(bf_routing_t *routing);
 
-/* These copy the structure; its strings must be from bf_routing_pool. */
+/* These copy the structure; what it points to is from bf_routing_pool. */
 void bf_routing_add_service(
     bf_routing_t *routing, const bf_mesh_service_t *service);
 void bf_routing_add_route(bf_routing_t *routing, const bf_mesh_route_t *route);
--- a/mesh/target.c
+++ b/mesh/target.c
@@ -55,7 +55,7 @@
 	bf_target_call_t **previous;
 	uint64_t offer_id;
 	char request_id[BF_REQUEST_ID_BYTES];
-	char route[BF_NAME_BYTES];
+	char route[BF_ROUTE_NAME_BYTES];
 	bf_bytes_t head;
 	bf_http_message_t *body; /* shared with a local caller's request */
 	bf_body_pull_t pull;
--- a/tests/mesh_fixture.c
+++ b/tests/mesh_fixture.c
@@ -107,6 +107,8 @@
 		route.is_public = g_str_has_suffix(lines[i], " public");
 		route.kind =
 		    strcmp(kind, "safe") == 0 ? BF_ROUTE_SAFE : BF_ROUTE_UNSAFE;
+		route.backends = apr_pcalloc(
+		    bf_routing_pool(routing), sizeof(*route.backends));
 		route.backend_count = 1;
 		route.backends[0].weight = 1;
 		route.backends[0].service =
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -4,6 +4,7 @@
 
 #include <apr_general.h>
 
+#include "mesh/names.h"
 #include "platform/json.h"
 #include "platform/platform.h"
 
@@ -70,6 +71,89 @@
 	bf_routing_release(routing);
 }
 
+#define LONG_NAME_CHARS 200
+#define BACKENDS 20
+
+/*
+ * A configuration with values that no bound of the node may refuse: it would be
+ * refused whole, and what it takes away would stay in use.
+ */
+static void
+test_wide_config(void)
+{
+	g_autofree char *name = g_strnfill(LONG_NAME_CHARS, 's');
+	g_autofree char *segment = g_strnfill(2000, 'p');
+	g_autofree char *path = g_strdup_printf("/%s/x", segment);
+	g_autoptr(GString) text = g_string_new(NULL);
+	bf_routing_t *first = NULL, *second = NULL;
+	bf_mesh_route_t *route;
+	uint64_t version;
+	bf_error_t err;
+	uint32_t i;
+
+	g_string_printf(text,
+	    "{\"Version\":\"r1\"," LIMITS
+	    ",\"Clusters\":[{\"Name\":\"%s\",\"HealthPath\":\"/health\","
+	    "\"MaxConnections\":130,\"WarmupS\":1e12,\"ColdPerS\":1e12}],"
+	    "\"Listeners\":[{\"Authority\":\"a.example\",\"Policies\":["
+	    "{\"Name\":\"%s\",\"Type\":\"safe\",\"TargetLatencyMs\":200,"
+	    "\"Priority\":2,\"Match\":{\"Prefix\":\"/%s/\"},\"Action\":{"
+	    "\"TimeoutMs\":7200000,\"MaxAttempts\":100,\"TrafficSplit\":[",
+	    name, name, segment);
+	for (i = 0; i < BACKENDS; i++)
+		g_string_append_printf(text,
+		    "%s{\"Service\":\"%s\",\"Weight\":1}", i > 0 ? "," : "",
+		    name);
+	g_string_append(text, "]}}]}]}");
+	g_assert_cmpint(decode(text->str, &first, &err), ==, BF_OK);
+	/* The second one copies the route of the first. */
+	g_assert_cmpint(bf_platform_dialect.decode_config(text->str, text->len,
+			    first, &second, &version, &err),
+	    ==, BF_OK);
+	bf_routing_release(first);
+	route = bf_routing_match(second, "a.example", path);
+	g_assert_nonnull(route);
+	g_assert_cmpuint(route->timeout_ms, ==, 7200000);
+	g_assert_cmpuint(route->attempts_max, ==, 100);
+	g_assert_cmpuint(route->backend_count, ==, BACKENDS);
+	g_assert_cmpuint(strlen(route->name), <, BF_ROUTE_NAME_BYTES);
+	g_assert_cmpstr(bf_route_next_service(route), ==, name);
+	g_assert_nonnull(bf_routing_service(second, name));
+	bf_routing_release(second);
+}
+
+/* Services of long names have targets and are moved, for weeks if so ordered.
+ */
+static void
+test_long_service(void)
+{
+	g_autofree char *name = g_strnfill(LONG_NAME_CHARS, 's');
+	g_autofree char *heartbeat_text = g_strdup_printf(
+	    "{\"Service\":\"%s\",\"Address\":\"127.0.0.1:1\",\"Zone\":\"a\","
+	    "\"Version\":\"%s\",\"Capacity\":1,\"State\":\"ready\","
+	    "\"WarmupLeftMs\":0,\"Sequence\":1}",
+	    name, name);
+	g_autofree char *order_text =
+	    g_strdup_printf("{\"Service\":\"%s\",\"TargetVersion\":\"%s\","
+			    "\"DurationS\":1209600}",
+		name, name);
+	bf_heartbeat_t heartbeat;
+	bf_move_order_t order;
+	bf_error_t err;
+
+	g_assert_cmpint(bf_platform_decode_heartbeat("i-1", heartbeat_text,
+			    strlen(heartbeat_text), 0, &heartbeat, &err),
+	    ==, BF_OK);
+	g_assert_cmpstr(heartbeat.service, ==, name);
+	g_assert_cmpstr(heartbeat.version, ==, name);
+	g_assert_cmpint(bf_platform_dialect.decode_order(
+			    order_text, strlen(order_text), &order, &err),
+	    ==, BF_OK);
+	g_assert_cmpstr(order.service, ==, name);
+	g_assert_cmpstr(order.version, ==, name);
+	g_assert_cmpuint(order.duration_ms, ==, 1209600000);
+}
+
 /* Each case has one fault; no part of such a version may be applied. */
 static void
 test_config_refused(void)
@@ -112,6 +196,11 @@
 			  "\"MaxAttempts\":2")),
 		    BF_ERR_RANGE },
 		{ "{\"Version\":\"r1\"," LIMITS "," CLUSTERS "}", BF_ERR_TYPE },
+		/* The path is sent in a request. */
+		{ "{\"Version\":\"r1\"," LIMITS
+		  ",\"Clusters\":[{\"Name\":\"shop\",\"HealthPath\":"
+		  "\"/a\\r\\nX: b\",\"MaxConnections\":1}],\"Listeners\":[]}",
+		    BF_ERR_RANGE },
 	};
 	bf_routing_t *routing;
 	bf_error_t err;
@@ -525,6 +614,8 @@
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/platform/config", test_config);
 	g_test_add_func("/platform/config-refused", test_config_refused);
+	g_test_add_func("/platform/wide-config", test_wide_config);
+	g_test_add_func("/platform/long-service", test_long_service);
 	g_test_add_func("/platform/accounts", test_accounts);
 	g_test_add_func("/platform/account-names", test_account_names);
 	g_test_add_func("/platform/accounts-refused", test_accounts_refused);
