--- a/base/error.c
+++ b/base/error.c
@@ -1,5 +1,6 @@
 #include <stdarg.h>
 #include <stdio.h>
+#include <string.h>
 
 #include "base/error.h"
 
@@ -28,17 +29,33 @@
 	[BF_ERR_INTERNAL] = "internal",
 };
 
+/* Cuts what is left of a character of UTF-8 at the end of a truncated text. */
+static void
+cut_character(char *text)
+{
+	size_t bytes = strlen(text), start = bytes;
+
+	while (start > 0 && ((unsigned char)text[start - 1] & 0xc0) == 0x80)
+		start--;
+	if (start > 0 && ((unsigned char)text[start - 1] & 0xc0) == 0xc0)
+		start--;
+	text[start] = '\0';
+}
+
 bf_code_t
 bf_error_set(bf_error_t *err, bf_code_t code, const char *fmt, ...)
 {
 	va_list ap;
+	int bytes;
 
 	if (err == NULL)
 		return code;
 	err->code = code;
 	va_start(ap, fmt);
-	vsnprintf(err->message, sizeof(err->message), fmt, ap);
+	bytes = vsnprintf(err->message, sizeof(err->message), fmt, ap);
 	va_end(ap);
+	if (bytes >= (int)sizeof(err->message))
+		cut_character(err->message);
 	return code;
 }
 
--- a/tests/test_base.c
+++ b/tests/test_base.c
@@ -1,4 +1,5 @@
 #include <glib.h>
+#include <string.h>
 
 #include "base/address.h"
 #include "base/clock.h"
@@ -20,6 +21,25 @@
 	g_assert_cmpint(bf_error_set(NULL, BF_ERR_IO, "x"), ==, BF_ERR_IO);
 }
 
+/* A log line with part of a character is not written. */
+static void
+test_error_cuts_whole_characters(void)
+{
+	g_autoptr(GString) text = g_string_new(NULL);
+	bf_error_t err;
+	int shift, i;
+
+	for (i = 0; i < BF_ERROR_MESSAGE_BYTES; i++)
+		g_string_append(text, "\xe2\x82\xac");
+	for (shift = 0; shift < 3; shift++) {
+		(void)bf_error_set(&err, BF_ERR_RANGE, "%s", text->str);
+		g_assert_true(g_utf8_validate(err.message, -1, NULL));
+		g_assert_cmpuint(
+		    strlen(err.message), >=, BF_ERROR_MESSAGE_BYTES - 4);
+		g_string_prepend(text, "x");
+	}
+}
+
 static void
 test_every_code_has_a_name(void)
 {
@@ -107,6 +127,7 @@
 {
 	g_test_init(&argc, &argv, NULL);
 	g_test_add_func("/base/error", test_error_keeps_code_and_message);
+	g_test_add_func("/base/error-cut", test_error_cuts_whole_characters);
 	g_test_add_func("/base/code-names", test_every_code_has_a_name);
 	g_test_add_func("/base/counter", test_counter_sums_shards);
 	g_test_add_func("/base/digest", test_digest_text_round_trip);
--- a/tests/test_platform.c
+++ b/tests/test_platform.c
@@ -374,6 +374,26 @@
 	}
 }
 
+/* The message, which is logged, states the part and the reason. */
+static void
+test_refusal_located(void)
+{
+	bf_routing_t *routing;
+	bf_error_t err;
+
+	(void)decode(CONFIG("r1",
+			 POLICY("safe", "/a/", TO_SHOP) "," POLICY(
+			     "odd", "/b/", TO_SHOP)),
+	    &routing, &err);
+	g_assert_cmpstr(
+	    err.message, ==, "host 1: route 2: \"odd\" is not a kind of route");
+	(void)decode(ACCOUNTS("{\"Name\":\"a\",\"ApiKeys\":[]},"
+			      "{\"Name\":\"a\",\"ApiKeys\":[]}"),
+	    &routing, &err);
+	g_assert_cmpstr(
+	    err.message, ==, "account 2: account \"a\" is defined twice");
+}
+
 /* Every truncation of a valid configuration is rejected without a crash. */
 static void
 test_config_cut(void)
@@ -619,6 +639,7 @@
 	g_test_add_func("/platform/accounts", test_accounts);
 	g_test_add_func("/platform/account-names", test_account_names);
 	g_test_add_func("/platform/accounts-refused", test_accounts_refused);
+	g_test_add_func("/platform/refusal-located", test_refusal_located);
 	g_test_add_func("/platform/config-cut", test_config_cut);
 	g_test_add_func("/platform/order", test_order);
 	g_test_add_func("/platform/outcome", test_outcome);
