Let heartbeats come late and targets deregister first in the soak

Change: one heartbeat in four is held back for up to 5 s, also beyond the end of its lifetime; half of the later lifetimes deregister first. The draws come from a generator of their own, so each seed keeps its sequence of faults.

--- a/tests/soak/soak.c
+++ b/tests/soak/soak.c
@@ -120,6 +120,7 @@
 	const char *program;
 	char *folder;
 	GRand *random;
+	GRand *late_random; /* see soak_target_t */
 	bf_loop_t *loop;
 	node_t nodes[NODES_MAX];
 	soak_store_t store;
@@ -352,6 +353,7 @@
 	soak_target_open(&node->target, soak->loop, soak->random,
 	    soak->run_counts, zone, &at);
 	node->target.events = &run_events;
+	node->target.late_random = soak->late_random;
 	node->callers_port = port_of(node, PORT_CALLERS);
 	at.sin_port = htons(node->callers_port);
 	node->client = (bf_http_client_t){ .loop = soak->loop,
@@ -1042,6 +1044,7 @@
 	uint32_t i;
 
 	soak->random = g_rand_new_with_seed((guint32)soak->seed);
+	soak->late_random = g_rand_new_with_seed((guint32)soak->seed + 1);
 	soak->loop = bf_loop_new(NULL);
 	soak->run_counts =
 	    g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/tests/soak/target.c
+++ b/tests/soak/target.c
@@ -15,6 +15,9 @@
  * target drains.
  */
 #define DRAIN_GRACE_US (2 * BF_US_PER_S)
+/* One heartbeat in LATE_ONE_IN is received up to LATE_MS_MAX later. */
+#define LATE_ONE_IN 4
+#define LATE_MS_MAX 5000
 #define IDLE_US (5 * BF_US_PER_S)
 
 typedef struct run {
@@ -162,14 +165,59 @@
 	}
 }
 
+static void
+on_late_done(bf_http_exchange_t *exchange, bf_http_result_t result,
+    bf_http_message_t *message, bf_time_us_t now_us)
+{
+	(void)exchange;
+	(void)now_us;
+	if (result == BF_HTTP_ANSWERED)
+		bf_http_message_free(message);
+}
+
+static void
+on_late_timer(bf_timer_t *timer, bf_time_us_t now_us)
+{
+	soak_target_t *target = BF_CONTAINER(timer, soak_target_t, late_timer);
+
+	if (target->late_exchange.conn != NULL)
+		bf_http_cancel(&target->late_exchange);
+	(void)bf_http_send(&target->node_client, &target->late_exchange,
+	    &target->late_head, &target->late_body, HEARTBEAT_TIMEOUT_US,
+	    now_us);
+	bf_bytes_free(&target->late_head);
+	bf_bytes_free(&target->late_body);
+}
+
+/* Keeps a heartbeat to be received late; false: it is sent now. */
+static bool
+hold_back(soak_target_t *target, bf_bytes_t *head, bf_bytes_t *body,
+    bf_time_us_t now_us)
+{
+	if (target->late_random == NULL ||
+	    bf_bytes_count(&target->late_head) > 0 ||
+	    g_rand_int_range(target->late_random, 0, LATE_ONE_IN) != 0)
+		return false;
+	target->late_head = *head;
+	target->late_body = *body;
+	bf_loop_timer_set(target->loop, &target->late_timer,
+	    now_us +
+		g_rand_int_range(target->late_random, 0, LATE_MS_MAX) *
+		    BF_US_PER_MS);
+	return true;
+}
+
 static void
 on_heartbeat_timer(bf_timer_t *timer, bf_time_us_t now_us)
 {
 	soak_target_t *target =
 	    BF_CONTAINER(timer, soak_target_t, heartbeat_timer);
 	bf_bytes_t head = { 0 }, body = { 0 };
+	bool departs = target->draining && target->departs_first;
 
 	bf_loop_timer_set(target->loop, timer, now_us + HEARTBEAT_INTERVAL_US);
+	if (departs && target->drain_acked_us != 0)
+		return;
 	if (target->heartbeat_exchange.conn != NULL)
 		bf_http_cancel(&target->heartbeat_exchange); /* timed out */
 	target->heartbeat_drains = target->draining;
@@ -184,9 +232,12 @@
 	    (unsigned long long)++target->sequence,
 	    (unsigned long long)target->started_ms);
 	bf_bytes_format(&head,
-	    "POST /basilfork/instances/%s/heartbeat HTTP/1.1\r\nHost: node\r\n"
+	    "POST /basilfork/instances/%s/%s HTTP/1.1\r\nHost: node\r\n"
 	    "Content-Type: application/json\r\nContent-Length: %zu\r\n\r\n",
-	    target->id, bf_bytes_count(&body));
+	    target->id, departs ? "deregister" : "heartbeat",
+	    bf_bytes_count(&body));
+	if (!target->draining && hold_back(target, &head, &body, now_us))
+		return;
 	(void)bf_http_send(&target->node_client, &target->heartbeat_exchange,
 	    &head, &body, HEARTBEAT_TIMEOUT_US, now_us);
 	bf_bytes_free(&head);
@@ -202,6 +253,8 @@
 	if (target->heartbeat_exchange.conn != NULL)
 		bf_http_cancel(&target->heartbeat_exchange);
 	target->draining = false;
+	target->departs_first =
+	    target->late_random != NULL && g_rand_boolean(target->late_random);
 	target->drain_acked_us = 0;
 	target->sequence = 0;
 	target->started_ms = (uint64_t)(bf_clock_wall_us() / BF_US_PER_MS);
@@ -225,6 +278,8 @@
 			.idle_timeout_us = IDLE_US } },
 		.loop = loop,
 		.random = random,
+		.late_timer = { .fire = on_late_timer },
+		.late_exchange = { .done = on_late_done },
 		.run_counts = run_counts,
 		.service = "shop",
 		.zone = zone,
--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -55,6 +55,15 @@
 	bf_http_client_t node_client; /* sends the heartbeats */
 	bf_http_exchange_t heartbeat_exchange;
 	bool heartbeat_drains; /* the heartbeat in flight reports "draining" */
+	bool departs_first;    /* it deregisters instead of draining */
+	/* A heartbeat on its way, perhaps of a former lifetime. */
+	bf_bytes_t late_head;
+	bf_bytes_t late_body;
+	bf_timer_t late_timer;
+	bf_http_exchange_t late_exchange;
+	/* Apart from the other draws, which determine the sequence of faults.
+	 */
+	GRand *late_random;
 	const soak_run_events_t *events; /* set after opening; may be NULL */
 };
 
