Remove a bound and a check of names that nothing uses

Cause: BF_HOST_BYTES and bf_name_is_key came with the names of accounts and found no user: a key that cannot be sent identifies nobody.

--- a/mesh/confirm.c
+++ b/mesh/confirm.c
@@ -1,6 +1,5 @@
 #include <string.h>
 
-#include "base/address.h"
 #include "mesh/internal.h"
 
 /*
--- a/mesh/names.c
+++ b/mesh/names.c
@@ -28,13 +28,6 @@
 	return true;
 }
 
-bool
-bf_name_is_key(const char *text)
-{
-	return bf_name_is_field_value(text) &&
-	    text[strcspn(text, " \t")] == '\0';
-}
-
 bool
 bf_name_is_path(const char *text)
 {
--- a/mesh/names.h
+++ b/mesh/names.h
@@ -13,9 +13,6 @@
  * service could not be moved: a key of the store has 200 bytes at most.
  */
 #define BF_SERVICE_BYTES 256
-/* Of a host name, with its NUL (RFC 1035, 2.3.4). */
-#define BF_HOST_BYTES 256
-
 /* Of the name of a route in logs and between nodes, with its NUL. */
 #define BF_ROUTE_NAME_BYTES 64
 
@@ -26,9 +23,6 @@
  */
 bool bf_name_is_field_value(const char *text);
 
-/* Whether a text can be sent as a bearer key: a field value without spaces. */
-bool bf_name_is_key(const char *text);
-
 /* Whether a text is the path of a request: "/..." of visible ASCII. */
 bool bf_name_is_path(const char *text);
 
