--- a/tests/soak/target.h
+++ b/tests/soak/target.h
@@ -61,7 +61,9 @@
 	bf_bytes_t late_body;
 	bf_timer_t late_timer;
 	bf_http_exchange_t late_exchange;
-	/* Apart from the other draws, which determine the sequence of faults.
+	/*
+	 * Set after opening; NULL: no heartbeat is late.  Not random, whose
+	 * draws determine the sequence of faults.
 	 */
 	GRand *late_random;
 	const soak_run_events_t *events; /* set after opening; may be NULL */
