--- a/review/lib-3/lab.c
+++ b/review/lib-3/lab.c
@@ -169,7 +169,7 @@
 lab_connect(uint16_t port, int timeout_ms)
 {
 	struct timeval limit = { .tv_sec = timeout_ms / 1000,
-		.tv_usec = timeout_ms % 1000 * 1000 };
+		.tv_usec = (timeout_ms % 1000) * 1000L };
 	struct sockaddr_in address = loopback(port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), on = 1;
 
@@ -277,8 +277,8 @@
 	memcpy(message->head, reader->data, head_bytes);
 	if (response)
 		message->status = atoi(message->head + strlen("HTTP/1.1 "));
-	message->has_length = lab_field(
-	    message->head, "Content-Length", text, sizeof(text));
+	message->has_length =
+	    lab_field(message->head, "Content-Length", text, sizeof(text));
 	if (message->has_length)
 		message->body_bytes = strtoul(text, NULL, 10);
 	total = head_bytes + message->body_bytes;
@@ -315,7 +315,7 @@
 	pthread_t thread;
 
 	pthread_attr_init(&attributes);
-	pthread_attr_setstacksize(&attributes, 256 * 1024);
+	pthread_attr_setstacksize(&attributes, (size_t)256 * 1024);
 	pthread_attr_setdetachstate(&attributes, PTHREAD_CREATE_DETACHED);
 	if (pthread_create(&thread, &attributes, run, argument) != 0)
 		lab_cannot("no thread");
@@ -494,9 +494,8 @@
 item_json(const item_t *item)
 {
 	return json_pack("{s:s,s:s,s:I,s:I,s:I}", "Key", item->key, "Value",
-	    item->value, "ModRevision", (json_int_t)item->revision,
-	    "CreateRev", (json_int_t)item->created, "Lease",
-	    (json_int_t)item->lease);
+	    item->value, "ModRevision", (json_int_t)item->revision, "CreateRev",
+	    (json_int_t)item->created, "Lease", (json_int_t)item->lease);
 }
 
 /* Copies a parameter of the query, decoded. */
@@ -511,9 +510,8 @@
 		at++;
 		if (strncmp(at, name, name_bytes) == 0 &&
 		    at[name_bytes] == '=') {
-			for (at += name_bytes + 1;
-			     *at != '\0' && *at != '&' && *at != ' ' &&
-			     n + 1 < bytes;
+			for (at += name_bytes + 1; *at != '\0' && *at != '&' &&
+			     *at != ' ' && n + 1 < bytes;
 			     at++) {
 				if (*at == '%' &&
 				    sscanf(at + 1, "%2x", &code) == 1) {
@@ -534,8 +532,7 @@
 static int
 compare_items(const void *a, const void *b)
 {
-	return strcmp(
-	    (*(item_t *const *)a)->key, (*(item_t *const *)b)->key);
+	return strcmp((*(item_t *const *)a)->key, (*(item_t *const *)b)->key);
 }
 
 static json_t *
@@ -551,12 +548,11 @@
 	query(target, "after", after, sizeof(after));
 	store->ranges++;
 	for (i = 0; i < store->item_count; i++) {
-		if (strncmp(store->items[i].key, prefix, strlen(prefix)) ==
-			0 &&
+		if (strncmp(store->items[i].key, prefix, strlen(prefix)) == 0 &&
 		    strcmp(store->items[i].key, after) > 0)
 			found[count++] = &store->items[i];
 	}
-	qsort(found, count, sizeof(found[0]), compare_items);
+	qsort(found, count, sizeof(item_t *), compare_items);
 	for (i = 0; i < count; i++) {
 		if (i == PAGE_ITEMS ||
 		    (i > 0 && bytes + found[i]->bytes > PAGE_BYTES)) {
@@ -652,13 +648,13 @@
 	size_t i;
 
 	store->txns++;
-	json_array_foreach (json_object_get(root, "ExpectedRevision"), i, entry) {
+	json_array_foreach (
+	    json_object_get(root, "ExpectedRevision"), i, entry) {
 		key = json_string_value(json_object_get(entry, "Key"));
 		item = find_item(store, key);
 		holds = holds &&
-		    (uint64_t)json_integer_value(
-			json_object_get(entry, "ModRevision")) ==
-			(item != NULL ? item->revision : 0);
+		    (uint64_t)json_integer_value(json_object_get(entry,
+			"ModRevision")) == (item != NULL ? item->revision : 0);
 	}
 	if (!holds) {
 		list = json_array();
@@ -842,8 +838,7 @@
 				    store->leases[i].id)
 					delete_item(store, &store->items[j]);
 			}
-			store->leases[i] =
-			    store->leases[--store->lease_count];
+			store->leases[i] = store->leases[--store->lease_count];
 			pthread_cond_broadcast(&store->changed);
 		}
 		pthread_mutex_unlock(&store->lock);
@@ -885,8 +880,8 @@
 }
 
 void
-lab_node_init(lab_node_t *node, const char *name, const char *zone,
-    const char *service)
+lab_node_init(
+    lab_node_t *node, const char *name, const char *zone, const char *service)
 {
 	*node = (lab_node_t){ .zone = zone,
 		.service = service,
@@ -985,7 +980,8 @@
 
 	if (reader.fd < 0)
 		return 0;
-	snprintf(text, sizeof(text), "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
+	snprintf(
+	    text, sizeof(text), "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", path);
 	if (lab_send(reader.fd, text, strlen(text)) &&
 	    lab_read(&reader, &message, true))
 		status = message.status;
@@ -1129,8 +1125,8 @@
 
 	if (!lab_field(message->head, "Request-Id", id, sizeof(id)))
 		return respond(fd, 400, "Not-Executed: no id\r\n", "");
-	snprintf(fields, sizeof(fields), "Request-Id: %s\r\nNot-Executed: 1\r\n",
-	    id);
+	snprintf(fields, sizeof(fields),
+	    "Request-Id: %s\r\nNot-Executed: 1\r\n", id);
 	if (lab_field(message->head, "Expected-Instance", expected,
 		sizeof(expected)) &&
 	    strcmp(expected, upstream->id) != 0)
@@ -1152,8 +1148,8 @@
 	held = work_for(fd, ms);
 	__sync_sub_and_fetch(&upstream->running, 1);
 	if (!held) {
-		lab_note("%s drops %s: its connection was closed",
-		    upstream->id, id);
+		lab_note(
+		    "%s drops %s: its connection was closed", upstream->id, id);
 		return false;
 	}
 	lab_note("%s answers %s with %d", upstream->id, id, status);
--- a/review/lib-3/lab.h
+++ b/review/lib-3/lab.h
@@ -100,8 +100,8 @@
 	pid_t pid; /* 0: not running */
 } lab_node_t;
 
-void lab_node_init(lab_node_t *node, const char *name, const char *zone,
-    const char *service);
+void lab_node_init(
+    lab_node_t *node, const char *name, const char *zone, const char *service);
 /* zones: all zones of the deployment, as in the settings. */
 void lab_node_start(lab_node_t *node, lab_store_t *store, const char *zones);
 void lab_node_signal(lab_node_t *node, int number);
@@ -125,7 +125,7 @@
 	int64_t born_ms;
 	volatile int running;
 	volatile bool draining;
-	volatile bool pings; /* heartbeats are sent */
+	volatile bool pings;  /* heartbeats are sent */
 	volatile bool silent; /* accepts, but never answers */
 	volatile int64_t drain_acked_ms;
 	uint64_t sequence;
