--- a/review/lib-3/lab.c
+++ b/review/lib-3/lab.c
@@ -1115,6 +1115,26 @@
 	return true;
 }
 
+/* Answers with that many bytes. */
+static bool
+respond_long(int fd, const char *fields, size_t bytes)
+{
+	static const char zeros[65536];
+	char text[1024];
+	size_t part;
+
+	snprintf(text, sizeof(text),
+	    "HTTP/1.1 200 x\r\n%sContent-Length: %zu\r\n\r\n", fields, bytes);
+	if (!lab_send(fd, text, strlen(text)))
+		return false;
+	for (; bytes > 0; bytes -= part) {
+		part = bytes < sizeof(zeros) ? bytes : sizeof(zeros);
+		if (!lab_send(fd, zeros, part))
+			return false;
+	}
+	return true;
+}
+
 static bool
 run_request(lab_upstream_t *upstream, int fd, const lab_message_t *message)
 {
@@ -1157,6 +1177,9 @@
 	    "Request-Id: %s\r\nResponse-Signature: %s.%s\r\n"
 	    "Server-Load: %d,0,%d\r\n",
 	    id, upstream->id, id, upstream->running, upstream->slots);
+	if (status == 200 && upstream->body_bytes != NULL)
+		return respond_long(
+		    fd, fields, upstream->body_bytes(message->head));
 	return respond(fd, status, fields, status == 200 ? "whole body" : "");
 }
 
--- a/review/lib-3/lab.h
+++ b/review/lib-3/lab.h
@@ -135,6 +135,8 @@
 	 */
 	int64_t (*work)(struct lab_upstream *upstream, const char *head,
 	    const char *id, int *status);
+	/* Length of the answer's body; NULL: a few bytes. */
+	size_t (*body_bytes)(const char *head);
 	int listener;
 } lab_upstream_t;
 
