--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -10,5 +10,6 @@
 	number=$(basename "$(dirname "$source")")
 	# shellcheck disable=SC2086
 	cc -std=gnu11 -O1 -g -Wall -Wextra -D_GNU_SOURCE -Ireview/lib-3 \
-	    -o "$out/case-$number" "$source" review/lib-3/lab.c $flags -lpthread
+	    -o "$out/case-$number" "$source" review/lib-3/lab.c \
+	    review/lib-3/answers.c $flags -lpthread
 done
