--- a/review/lib-3/lab.c
+++ b/review/lib-3/lab.c
@@ -1088,8 +1088,35 @@
 typedef struct upstream_conn {
 	lab_upstream_t *upstream;
 	int fd;
+	struct upstream_conn *next;
 } upstream_conn_t;
 
+static pthread_mutex_t conns_lock = PTHREAD_MUTEX_INITIALIZER;
+static upstream_conn_t *conns;
+
+static void
+add_conn(upstream_conn_t *conn)
+{
+	pthread_mutex_lock(&conns_lock);
+	conn->next = conns;
+	conns = conn;
+	pthread_mutex_unlock(&conns_lock);
+}
+
+static void
+remove_conn(upstream_conn_t *conn)
+{
+	upstream_conn_t **at = &conns;
+
+	pthread_mutex_lock(&conns_lock);
+	while (*at != conn)
+		at = &(*at)->next;
+	*at = conn->next;
+	close(conn->fd);
+	pthread_mutex_unlock(&conns_lock);
+	free(conn);
+}
+
 static bool
 respond(int fd, int status, const char *fields, const char *body)
 {
@@ -1141,7 +1168,7 @@
 	char id[LAB_TEXT] = "", expected[LAB_TEXT] = "", fields[512], left[32];
 	int status = 200, count;
 	int64_t ms = 20, left_ms;
-	bool held;
+	bool held, leaves;
 
 	if (!lab_field(message->head, "Request-Id", id, sizeof(id)))
 		return respond(fd, 400, "Not-Executed: no id\r\n", "");
@@ -1173,38 +1200,43 @@
 		return false;
 	}
 	lab_note("%s answers %s with %d", upstream->id, id, status);
+	leaves = upstream->draining;
 	snprintf(fields, sizeof(fields),
 	    "Request-Id: %s\r\nResponse-Signature: %s.%s\r\n"
-	    "Server-Load: %d,0,%d\r\n",
-	    id, upstream->id, id, upstream->running, upstream->slots);
+	    "Server-Load: %d,0,%d\r\n%s",
+	    id, upstream->id, id, upstream->running, upstream->slots,
+	    leaves ? "Connection: close\r\n" : "");
 	if (status == 200 && upstream->body_bytes != NULL)
 		return respond_long(
 		    fd, fields, upstream->body_bytes(message->head));
-	return respond(fd, status, fields, status == 200 ? "whole body" : "");
+	return respond(fd, status, fields, status == 200 ? "whole body" : "") &&
+	    !leaves;
 }
 
 static void *
 serve_upstream(void *argument)
 {
-	upstream_conn_t conn = *(upstream_conn_t *)argument;
-	lab_reader_t reader = { .fd = conn.fd };
+	upstream_conn_t *conn = argument;
+	lab_upstream_t *upstream = conn->upstream;
+	lab_reader_t reader = { .fd = conn->fd };
 	lab_message_t message;
 	char fields[256];
 	bool goes_on = true;
 
-	free(argument);
-	while (goes_on && lab_read(&reader, &message, false)) {
+	add_conn(conn);
+	while (
+	    goes_on && !upstream->ended && lab_read(&reader, &message, false)) {
 		if (strncmp(message.head, "GET /health ", 12) == 0) {
 			snprintf(fields, sizeof(fields), "Instance-Id: %s\r\n",
-			    conn.upstream->id);
-			goes_on = respond(conn.fd,
-			    conn.upstream->draining ? 503 : 200, fields, "");
+			    upstream->id);
+			goes_on = respond(conn->fd,
+			    upstream->draining ? 503 : 200, fields, "");
 		} else {
-			goes_on = run_request(conn.upstream, conn.fd, &message);
+			goes_on = run_request(upstream, conn->fd, &message);
 		}
 		lab_message_free(&message);
 	}
-	close(conn.fd);
+	remove_conn(conn);
 	lab_reader_free(&reader);
 	return NULL;
 }
@@ -1295,6 +1327,38 @@
 	start_thread(send_heartbeats, upstream);
 }
 
+void
+lab_upstream_end(lab_upstream_t *upstream)
+{
+	lab_reader_t reader = { .fd = lab_connect(
+				    upstream->heartbeat_port, 1000) };
+	lab_message_t message = { .status = 0 };
+	upstream_conn_t *conn;
+	char text[512];
+
+	upstream->pings = false;
+	snprintf(text, sizeof(text),
+	    "POST /basilfork/instances/%s/deregister HTTP/1.1\r\n"
+	    "Host: node\r\nContent-Length: 0\r\n\r\n",
+	    upstream->id);
+	if (reader.fd >= 0 && lab_send(reader.fd, text, strlen(text)))
+		(void)lab_read(&reader, &message, true);
+	lab_note("%s deregisters, answered with %d, and exits", upstream->id,
+	    message.status);
+	lab_message_free(&message);
+	if (reader.fd >= 0)
+		close(reader.fd);
+	lab_reader_free(&reader);
+	upstream->ended = true;
+	shutdown(upstream->listener, SHUT_RDWR);
+	pthread_mutex_lock(&conns_lock);
+	for (conn = conns; conn != NULL; conn = conn->next) {
+		if (conn->upstream == upstream)
+			shutdown(conn->fd, SHUT_RDWR);
+	}
+	pthread_mutex_unlock(&conns_lock);
+}
+
 /* ---- clients ---- */
 
 void
--- a/review/lib-3/lab.h
+++ b/review/lib-3/lab.h
@@ -127,6 +127,7 @@
 	volatile bool draining;
 	volatile bool pings;  /* heartbeats are sent */
 	volatile bool silent; /* accepts, but never answers */
+	volatile bool ended;  /* its process has exited */
 	volatile int64_t drain_acked_ms;
 	uint64_t sequence;
 	/*
@@ -144,6 +145,9 @@
 void lab_upstream_start(
     lab_upstream_t *upstream, const lab_node_t *node, const char *id);
 
+/* It deregisters and exits: what it runs is cut off. */
+void lab_upstream_end(lab_upstream_t *upstream);
+
 /* How often a request ran, on all upstreams. */
 int lab_runs(const char *request_id);
 int64_t lab_run_began_ms(const char *request_id);
